--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,5 @@
+//! What the two programs share.
+
+pub mod client;
+pub mod commands;
+pub mod logging;
--- /dev/null
+++ b/crates/core/src/model/mod.rs
@@ -0,0 +1,13 @@
+//! Plain types that cross the boundary of the core.
+
+pub mod configuration;
+pub mod ids;
+pub mod incarnation;
+pub mod job_id;
+pub mod message;
+pub mod outcome;
+pub mod request;
+pub mod spec;
+pub mod store;
+pub mod time;
+pub mod vm_list;
--- /dev/null
+++ b/crates/core/src/systems/calls.rs
@@ -0,0 +1,107 @@
+//! Requests of callers at this process.
+
+use super::{jobs, keyed, routing};
+use crate::action::Action;
+use crate::model::ids::{CallId, CustomerId};
+use crate::model::message::Message;
+use crate::model::outcome::{Refusal, RefusalReason};
+use crate::model::request::{Caller, JobRequest, JobVerb, Request, Response};
+use crate::model::spec::JobSpec;
+use crate::status::Phase;
+use crate::world::{Cx, World};
+use std::time::Duration;
+
+/// Time after which a refused caller may try another entry VM.
+const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
+
+/// Takes in a request of a caller.
+pub fn handle(world: &mut World, cx: &mut Cx<'_>, call: CallId, req: Request) {
+    let caller = Caller::Local(call);
+    match req {
+        Request::TakeIds { customer, count } => {
+            let response = take_ids(world, customer, count);
+            respond(world, cx, caller, response);
+        }
+        Request::Job(req) => routing::route(world, cx, caller, req),
+        Request::Keyed {
+            customer,
+            key,
+            spec,
+            wait,
+        } => {
+            keyed::submit(
+                world,
+                cx,
+                caller,
+                keyed::KeyedCall {
+                    customer,
+                    key,
+                    spec,
+                    wait,
+                },
+            );
+        }
+        Request::Once {
+            customer,
+            spec,
+            wait,
+        } => once(world, cx, caller, customer, spec, wait),
+    }
+}
+
+/// Sends a response to whoever waits for it.
+pub fn respond(world: &mut World, cx: &mut Cx<'_>, caller: Caller, response: Response) {
+    match caller {
+        Caller::Local(call) => cx.act(Action::Respond { call, response }),
+        Caller::Peer(peer, number) => {
+            cx.send(world, peer, Message::Forwarded { number, response });
+        }
+    }
+}
+
+/// Refuses a request.
+pub fn refuse(world: &mut World, cx: &mut Cx<'_>, caller: Caller, refusal: Refusal) {
+    respond(world, cx, caller, Response::Refused(refusal));
+}
+
+/// Tells why no work is taken at all, if so.
+pub fn closed_to_work(world: &World) -> Option<RefusalReason> {
+    if world.phase != Phase::Serving {
+        return Some(RefusalReason::Stopping);
+    }
+    (!world.admits_work()).then_some(RefusalReason::NotServing)
+}
+
+fn take_ids(world: &mut World, customer: CustomerId, count: u32) -> Response {
+    if world.phase != Phase::Serving {
+        let refusal = Refusal::not_run(RefusalReason::Stopping);
+        return Response::Refused(refusal.with_retry_after(RETRY_ELSEWHERE));
+    }
+    if count == 0 || count > world.policy.max_id_batch {
+        return Response::Refused(Refusal::not_run(RefusalReason::BatchTooLarge));
+    }
+    Response::Ids((0..count).map(|_| world.jobs.issue(customer)).collect())
+}
+
+fn once(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    caller: Caller,
+    customer: CustomerId,
+    spec: JobSpec,
+    wait: Duration,
+) {
+    if let Some(reason) = closed_to_work(world) {
+        let refusal = Refusal::not_run(reason).with_retry_after(RETRY_ELSEWHERE);
+        refuse(world, cx, caller, refusal);
+        return;
+    }
+    let id = world.jobs.issue(customer);
+    let req = JobRequest {
+        id,
+        customer,
+        wait,
+        verb: JobVerb::Submit(spec),
+    };
+    jobs::handle(world, cx, caller, req);
+}
--- /dev/null
+++ b/crates/core/src/systems/jobs.rs
@@ -0,0 +1,310 @@
+//! Requests about jobs of this incarnation, and the end of jobs.
+
+use super::calls::{refuse, respond};
+use crate::action::Action;
+use crate::model::ids::CustomerId;
+use crate::model::job_id::JobId;
+use crate::model::outcome::{FailureReason, Outcome, Ran, Refusal, RefusalReason};
+use crate::model::request::{Caller, JobRequest, JobVerb, Response};
+use crate::model::spec::{JobSpec, TaskSpec};
+use crate::model::time::Time;
+use crate::policy::JobOrder;
+use crate::status::Phase;
+use crate::tables::job::Job;
+use crate::tables::job_table::Lookup;
+use crate::timers::{CallerKey, Timer};
+use crate::world::{Cx, World};
+use std::time::Duration;
+
+/// Time after which a refused waiter may ask again.
+const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+/// Handles a request about a job that this incarnation issued.
+pub fn handle(world: &mut World, cx: &mut Cx<'_>, caller: Caller, req: JobRequest) {
+    let JobRequest {
+        id,
+        customer,
+        wait,
+        verb,
+    } = req;
+    match world.jobs.look_up(id, customer) {
+        Lookup::NoSuchJob => {
+            refuse(
+                world,
+                cx,
+                caller,
+                Refusal::unknown(RefusalReason::NoSuchJob),
+            );
+        }
+        Lookup::Expired => refuse(world, cx, caller, Refusal::unknown(RefusalReason::Expired)),
+        Lookup::Closed(outcome) => {
+            let response = Response::Answer {
+                id,
+                outcome: outcome.clone(),
+            };
+            respond(world, cx, caller, response);
+        }
+        Lookup::Open if verb == JobVerb::Cancel => {
+            attach(world, cx, caller, id, wait);
+            fail(world, cx, id.counter, FailureReason::Cancelled);
+        }
+        Lookup::Open => attach(world, cx, caller, id, wait),
+        Lookup::NotSubmitted => not_submitted(world, cx, caller, (id, customer, wait), verb),
+    }
+}
+
+fn not_submitted(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    caller: Caller,
+    (id, customer, wait): (JobId, CustomerId, Duration),
+    verb: JobVerb,
+) {
+    match verb {
+        JobVerb::Fetch => {
+            refuse(
+                world,
+                cx,
+                caller,
+                Refusal::unknown(RefusalReason::NotSubmitted),
+            );
+        }
+        JobVerb::Cancel => burn(world, cx, caller, (id, customer), FailureReason::Cancelled),
+        JobVerb::Submit(spec) => match admit(world, &spec) {
+            Err(reason) => burn(world, cx, caller, (id, customer), reason),
+            Ok(estimates) => {
+                open(world, cx, id, customer, spec, estimates);
+                attach(world, cx, caller, id, wait);
+            }
+        },
+    }
+}
+
+/// Refuses an id for good: nothing ran, and nothing ever will.
+fn burn(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    caller: Caller,
+    (id, customer): (JobId, CustomerId),
+    reason: FailureReason,
+) {
+    let outcome = Outcome::failed(reason, Ran::NotRun);
+    world
+        .jobs
+        .burn(id.counter, customer, outcome.clone(), cx.now);
+    world.counters.jobs_failed += 1;
+    respond(world, cx, caller, Response::Answer { id, outcome });
+}
+
+/// Decides whether a job is taken, and estimates its tasks.
+fn admit(world: &World, spec: &JobSpec) -> Result<Vec<Duration>, FailureReason> {
+    if world.phase != Phase::Serving {
+        return Err(FailureReason::Stopping);
+    }
+    let Some(config) = world.config.as_ref().filter(|_| world.admits_work()) else {
+        return Err(FailureReason::NotServing);
+    };
+    if world.executors.is_empty() {
+        return Err(FailureReason::NotServing);
+    }
+    let widest = world.executors.widest();
+    let fits = |task: &TaskSpec| task.slots >= 1 && task.slots <= widest;
+    let count = spec.tasks.len();
+    if count == 0 || count > world.policy.max_tasks || !spec.tasks.iter().all(fits) {
+        return Err(FailureReason::Impossible);
+    }
+    if world.open_tasks + count > config.preset_in_force().max_open_tasks as usize {
+        return Err(FailureReason::Overloaded);
+    }
+    let estimates = estimate(world, spec);
+    if let Some(deadline) = spec.deadline {
+        check_deadline(world, &estimates, deadline)?;
+    }
+    Ok(estimates)
+}
+
+fn estimate(world: &World, spec: &JobSpec) -> Vec<Duration> {
+    let tasks = spec.tasks.iter();
+    tasks
+        .map(|task| world.estimator.estimate(&task.kind, task.declared))
+        .collect()
+}
+
+/// Refuses a job that would not end before its deadline under the present load.
+fn check_deadline(
+    world: &World,
+    estimates: &[Duration],
+    deadline: Duration,
+) -> Result<(), FailureReason> {
+    let longest = estimates.iter().max().copied().unwrap_or_default();
+    let alone = longest.div_f64(world.executors.top_speed().max(f64::MIN_POSITIVE));
+    if alone + world.issuer.expected_wait > deadline {
+        return Err(FailureReason::DeadlineUnreachable);
+    }
+    Ok(())
+}
+
+fn open(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    id: JobId,
+    customer: CustomerId,
+    spec: JobSpec,
+    estimates: Vec<Duration>,
+) {
+    let job = Job::new(id, customer, spec, estimates, cx.now);
+    if let Some(at) = job.deadline {
+        world.timers.subscribe(at, Timer::JobDeadline(id.counter));
+    }
+    world.counters.jobs_accepted += 1;
+    world.open_tasks += job.tasks.len();
+    world.jobs.insert(job);
+    world.issuer.wants = true;
+    index(world, id.counter);
+}
+
+/// Brings the place of a job in the ready index up to date.
+pub fn index(world: &mut World, counter: u64) {
+    let Some(job) = world.jobs.get(counter) else {
+        world.ready.remove(counter);
+        return;
+    };
+    if job.queue.is_empty() {
+        world.ready.remove(counter);
+        return;
+    }
+    let key = order_key(world, job);
+    world.ready.set(counter, job.customer, key);
+}
+
+/// Computes the key by which a job is ordered; see [`rank`].
+fn order_key(world: &World, job: &Job) -> u64 {
+    let arrived = job.arrived.as_micros();
+    match world.policy.job_order {
+        JobOrder::Arrival => arrived,
+        JobOrder::SmallestRemaining => {
+            let remaining = u64::try_from(job.remaining.as_micros()).unwrap_or(u64::MAX);
+            remaining.saturating_add(aged(world, arrived))
+        }
+    }
+}
+
+/// Turns an order key into a rank that other processes can compare with theirs.
+pub fn rank(world: &World, key: u64, now: Time) -> u64 {
+    match world.policy.job_order {
+        JobOrder::Arrival => u64::MAX - now.as_micros().saturating_sub(key),
+        JobOrder::SmallestRemaining => key.saturating_sub(aged(world, now.as_micros())),
+    }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "microseconds of a process's life fit the mantissa, and the factor is not negative"
+)]
+fn aged(world: &World, micros: u64) -> u64 {
+    (micros as f64 * world.policy.ageing) as u64
+}
+
+/// Lets a caller wait for the answer, or tells it the present state.
+fn attach(world: &mut World, cx: &mut Cx<'_>, caller: Caller, id: JobId, wait: Duration) {
+    let max_waiters = world.policy.max_waiters;
+    let Some(job) = world.jobs.get_mut(id.counter) else {
+        return;
+    };
+    if wait.is_zero() {
+        let response = running(job);
+        respond(world, cx, caller, response);
+        return;
+    }
+    if job.waiters.len() >= max_waiters {
+        let refusal = Refusal::unknown(RefusalReason::TooManyWaiting);
+        refuse(world, cx, caller, refusal.with_retry_after(RETRY_WAIT));
+        return;
+    }
+    job.waiters.push(caller);
+    let timer = Timer::WaitEnds(id.counter, CallerKey::from(caller));
+    cx.subscribe(world, wait, timer);
+}
+
+fn running(job: &Job) -> Response {
+    let total = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
+    Response::Running {
+        id: job.id,
+        done: job.done,
+        total,
+    }
+}
+
+/// Ends the wait of a caller with the present state.
+pub fn end_wait(world: &mut World, cx: &mut Cx<'_>, counter: u64, key: CallerKey) {
+    let Some(job) = world.jobs.get_mut(counter) else {
+        return;
+    };
+    let position = job
+        .waiters
+        .iter()
+        .position(|&waiter| CallerKey::from(waiter) == key);
+    if let Some(position) = position {
+        let caller = job.waiters.swap_remove(position);
+        let response = running(job);
+        respond(world, cx, caller, response);
+    }
+}
+
+/// Ends a job as failed: drops what waits, aborts what runs.
+pub fn fail(world: &mut World, cx: &mut Cx<'_>, counter: u64, reason: FailureReason) {
+    let Some(job) = world.jobs.get(counter) else {
+        return;
+    };
+    let ran = if job.may_have_run() {
+        Ran::MayHaveRun
+    } else {
+        Ran::NotRun
+    };
+    let attempts: Vec<_> = job.running_attempts().collect();
+    for attempt in attempts {
+        if let Some(row) = world.attempts.get(attempt) {
+            cx.act(Action::Abort {
+                attempt,
+                executor: row.executor,
+            });
+        }
+    }
+    world.counters.jobs_failed += 1;
+    finish(world, cx, counter, Outcome::failed(reason, ran));
+}
+
+/// Ends a job as complete if every task ended.
+pub fn complete_if_done(world: &mut World, cx: &mut Cx<'_>, counter: u64) {
+    let results = world
+        .jobs
+        .get(counter)
+        .filter(|job| job.running == 0 && job.queue.is_empty());
+    let Some(results) = results.and_then(Job::results) else {
+        return;
+    };
+    world.counters.jobs_complete += 1;
+    finish(world, cx, counter, Outcome::Complete(results));
+}
+
+fn finish(world: &mut World, cx: &mut Cx<'_>, counter: u64, outcome: Outcome) {
+    let Some(job) = world.jobs.close_job(counter, outcome.clone(), cx.now) else {
+        return;
+    };
+    world.ready.remove(counter);
+    world.open_tasks -= job.tasks.len();
+    for caller in job.waiters {
+        let outcome = outcome.clone();
+        respond(
+            world,
+            cx,
+            caller,
+            Response::Answer {
+                id: job.id,
+                outcome,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/membership.rs
@@ -0,0 +1,83 @@
+//! Peers, heartbeats and the choice of the slot owner.
+
+use super::routing;
+use crate::model::incarnation::Incarnation;
+use crate::model::message::{Heartbeat, Message};
+use crate::model::time::Time;
+use crate::status::Phase;
+use crate::tables::member_table::choose_owner;
+use crate::world::{Cx, World};
+use std::sync::Arc;
+
+/// Takes in a new connection: tells the peer what it may not know.
+pub fn peer_up(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
+    world.members.insert(peer, cx.now);
+    let heartbeat = own_heartbeat(world);
+    cx.send(world, peer, Message::Heartbeat(heartbeat));
+    let closures: Vec<_> = world
+        .archive
+        .closures()
+        .map(|(closed, holders)| Message::Closed {
+            closed,
+            holders: holders.to_vec(),
+        })
+        .collect();
+    for message in closures {
+        cx.send(world, peer, message);
+    }
+}
+
+/// Takes in the loss of a connection.
+pub fn peer_down(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
+    world.members.remove(peer);
+    world.ledger.remove(peer);
+    routing::peer_lost(world, cx, peer);
+    super::planner::schedule(world, cx);
+}
+
+/// Notes that a peer is alive.
+pub fn heard(world: &mut World, cx: &Cx<'_>, peer: Incarnation) {
+    world.members.note_heard(peer, cx.now);
+}
+
+/// Takes in a heartbeat; sends the peer what it lacks.
+pub fn heartbeat(world: &mut World, cx: &mut Cx<'_>, from: Incarnation, heartbeat: Heartbeat) {
+    world.members.note_heartbeat(from, heartbeat);
+    if let Some(config) = &world.config
+        && config.version > heartbeat.config_version
+    {
+        let message = Message::Configuration(Arc::clone(config));
+        cx.send(world, from, message);
+    }
+    if let Some(list) = &world.vm_list
+        && list.revision > heartbeat.vm_list_revision
+    {
+        let message = Message::VmList(Arc::clone(list));
+        cx.send(world, from, message);
+    }
+}
+
+/// Sends a heartbeat to every peer.
+pub fn beat(world: &mut World, cx: &mut Cx<'_>) {
+    let heartbeat = own_heartbeat(world);
+    for peer in world.members.connected() {
+        cx.send(world, peer, Message::Heartbeat(heartbeat));
+    }
+}
+
+fn own_heartbeat(world: &World) -> Heartbeat {
+    Heartbeat {
+        config_version: world.config_version(),
+        vm_list_revision: world.vm_list_revision(),
+        weight: world.weight,
+        serving: world.phase == Phase::Serving,
+    }
+}
+
+/// Returns the slot owner in this process's view. A process that stops is not an owner.
+pub fn slot_owner(world: &World, now: Time) -> Option<Incarnation> {
+    let serving = world.phase == Phase::Serving;
+    let me = serving.then_some((world.me, world.weight));
+    let peers = world.members.live(now, world.policy.peer_silence);
+    choose_owner(me.into_iter().chain(peers))
+}
--- /dev/null
+++ b/crates/core/src/systems/mod.rs
@@ -0,0 +1,17 @@
+//! Systems that run over the tables. Each is a set of functions over the world.
+
+pub mod calls;
+pub mod closing;
+pub mod configuration;
+pub mod demand;
+pub mod dispatch;
+pub mod jobs;
+pub mod keyed;
+pub mod membership;
+pub mod planner;
+pub mod routing;
+pub mod starts;
+pub mod store;
+pub mod upkeep;
+pub mod usage;
+pub mod vm_list;
--- /dev/null
+++ b/crates/core/src/systems/planner.rs
@@ -0,0 +1,427 @@
+//! The owner's side of slot sharing: who gets which slots.
+
+use super::membership;
+use crate::collections::FastMap;
+use crate::model::ids::{CustomerId, ExecutorId};
+use crate::model::incarnation::Incarnation;
+use crate::model::message::{
+    AvoidCause, Claim, Demand, Grant, Holding, Message, SPEED_CLASSES, SpeedNeeds,
+};
+use crate::model::time::Time;
+use crate::timers::Timer;
+use crate::world::{Cx, World};
+use std::time::Duration;
+
+/// Time after which a new owner looks again whether all issuers reported.
+const SETTLE_CHECK: Duration = Duration::from_millis(20);
+/// Least change of the expected wait that is told without other cause.
+const WAIT_STEP: Duration = Duration::from_millis(100);
+
+/// Free slots of an executor.
+#[derive(Clone, Copy, Debug)]
+struct FreeSlots {
+    executor: ExecutorId,
+    speed: f64,
+    slots: u32,
+}
+
+/// A claim of an issuer, with what the plan gives it.
+#[derive(Clone, Copy, Debug)]
+struct PlannedClaim {
+    issuer: usize,
+    claim: Claim,
+    target: u32,
+}
+
+/// What an issuer has and gets.
+#[derive(Debug)]
+struct PlannedIssuer {
+    id: Incarnation,
+    held: u32,
+    target: u32,
+    recall: u32,
+    told_recall: u32,
+    avoid: FastMap<ExecutorId, AvoidCause>,
+    grants: FastMap<ExecutorId, u16>,
+}
+
+/// Takes in the demand of an issuer and schedules a plan.
+pub fn demand_received(world: &mut World, cx: &Cx<'_>, from: Incarnation, demand: Demand) {
+    if membership::slot_owner(world, cx.now) != Some(world.me) {
+        return;
+    }
+    world.ledger.take_demand(from, demand);
+    schedule(world, cx);
+}
+
+/// Schedules a plan if none is scheduled.
+pub fn schedule(world: &mut World, cx: &Cx<'_>) {
+    if world.owner.since.is_some() && !world.owner.scheduled {
+        world.owner.scheduled = true;
+        cx.subscribe(world, world.policy.plan_delay, Timer::PlanDue);
+    }
+}
+
+/// Plans who gets which slots, and tells the issuers for which something changed.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    world.owner.scheduled = false;
+    let Some(since) = world.owner.since else {
+        return;
+    };
+    if !is_settled(world, cx.now, since) {
+        world.owner.scheduled = true;
+        cx.subscribe(world, SETTLE_CHECK, Timer::PlanDue);
+        return;
+    }
+    world
+        .ledger
+        .expire_grants(cx.now, world.policy.grant_lifetime);
+    let mut issuers = planned_issuers(world);
+    let mut free = free_slots(world, cx.now, &issuers);
+    let capacity = usable_capacity(world, cx.now);
+    let mut claims = planned_claims(world);
+    set_targets(world, &mut claims, capacity);
+    for planned in &claims {
+        issuers[planned.issuer].target += planned.target;
+    }
+    grant_free(&claims, &mut issuers, &mut free, top_speed(world));
+    plan_recalls(&mut issuers);
+    let wait = expected_wait(world, cx.now, &claims);
+    tell(world, cx, &issuers, wait);
+}
+
+/// Tells whether all issuers reported to a new owner, or had the time for it.
+fn is_settled(world: &World, now: Time, since: Time) -> bool {
+    if now.since(since) >= world.policy.owner_settle_time {
+        return true;
+    }
+    let live = world.members.live(now, world.policy.peer_silence);
+    live.map(|(peer, _)| peer)
+        .all(|peer| world.ledger.knows(peer))
+}
+
+fn planned_issuers(world: &World) -> Vec<PlannedIssuer> {
+    let rows = world.ledger.issuers();
+    rows.into_iter()
+        .map(|(id, issuer)| PlannedIssuer {
+            id,
+            held: issuer.held(),
+            target: 0,
+            recall: 0,
+            told_recall: issuer.demand.recall.max(issuer.recall),
+            avoid: issuer
+                .demand
+                .avoid
+                .iter()
+                .map(|row| (row.executor, row.cause))
+                .collect(),
+            grants: FastMap::default(),
+        })
+        .collect()
+}
+
+/// Tells whether starts can reach an executor, as far as this process can see.
+fn is_reachable(world: &World, now: Time, executor: ExecutorId) -> bool {
+    let Some(data_centre) = world.executors.data_centre(executor) else {
+        return false;
+    };
+    if data_centre == world.me.data_centre {
+        return true;
+    }
+    let entries = world.vm_list.iter().flat_map(|list| list.entries.iter());
+    let has_entries = entries.into_iter().any(|vm| vm.data_centre == data_centre);
+    !has_entries
+        || world
+            .members
+            .reaches(data_centre, now, world.policy.peer_silence)
+}
+
+fn usable_capacity(world: &World, now: Time) -> u32 {
+    let rows = world.executors.iter().filter(|row| row.accepts_work());
+    rows.filter(|row| is_reachable(world, now, row.vm.id))
+        .map(|row| u32::from(row.vm.slots))
+        .sum()
+}
+
+fn top_speed(world: &World) -> f64 {
+    world.executors.top_speed()
+}
+
+/// Lists free slots in order of speed. An executor that an issuer found failing has one at most.
+fn free_slots(world: &World, now: Time, issuers: &[PlannedIssuer]) -> Vec<FreeSlots> {
+    let taken = world.ledger.taken();
+    let suspect = |executor: ExecutorId| {
+        let causes = issuers
+            .iter()
+            .filter_map(|issuer| issuer.avoid.get(&executor));
+        causes.into_iter().any(|cause| *cause != AvoidCause::Busy)
+    };
+    let mut free: Vec<_> = world
+        .executors
+        .iter()
+        .filter(|row| row.accepts_work() && is_reachable(world, now, row.vm.id))
+        .map(|row| {
+            let limit = if suspect(row.vm.id) {
+                1
+            } else {
+                u32::from(row.vm.slots)
+            };
+            let used = taken.get(&row.vm.id).copied().unwrap_or(0);
+            let slots = limit.saturating_sub(used);
+            FreeSlots {
+                executor: row.vm.id,
+                speed: row.speed(),
+                slots,
+            }
+        })
+        .filter(|slots| slots.slots > 0)
+        .collect();
+    free.sort_by(|a, b| {
+        a.speed
+            .total_cmp(&b.speed)
+            .then(a.executor.cmp(&b.executor))
+    });
+    free
+}
+
+fn planned_claims(world: &World) -> Vec<PlannedClaim> {
+    let mut claims = Vec::new();
+    for (position, (_, issuer)) in world.ledger.issuers().into_iter().enumerate() {
+        let rows = issuer.demand.claims.iter();
+        claims.extend(rows.map(|&claim| PlannedClaim {
+            issuer: position,
+            claim,
+            target: 0,
+        }));
+    }
+    claims.sort_by_key(|planned| (planned.claim.rank, planned.issuer));
+    claims
+}
+
+fn want(claim: &Claim) -> u32 {
+    claim.running + claim.needs.total()
+}
+
+/// Shares the slots between customers by weight, and within a customer by rank.
+fn set_targets(world: &World, claims: &mut [PlannedClaim], capacity: u32) {
+    let mut wants: FastMap<CustomerId, u32> = FastMap::default();
+    for planned in claims.iter() {
+        *wants.entry(planned.claim.customer).or_insert(0) += want(&planned.claim);
+    }
+    let mut left = entitlements(world, &wants, capacity);
+    for planned in claims.iter_mut() {
+        let Some(left) = left.get_mut(&planned.claim.customer) else {
+            continue;
+        };
+        planned.target = want(&planned.claim).min(*left);
+        *left -= planned.target;
+    }
+}
+
+/// A customer's part in the sharing.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    customer: CustomerId,
+    weight: u32,
+    want: u32,
+    quota: u32,
+    given: u32,
+}
+
+/// Computes the slots of each customer: by weight up to its quota and its want; what is left goes
+/// to those that want more than their quota, since nobody else waits for it.
+fn entitlements(
+    world: &World,
+    wants: &FastMap<CustomerId, u32>,
+    capacity: u32,
+) -> FastMap<CustomerId, u32> {
+    let mut shares: Vec<_> = wants
+        .iter()
+        .map(|(&id, &want)| share_of(world, id, want))
+        .collect();
+    shares.sort_by_key(|share| share.customer);
+    let mut left = capacity;
+    fill(&mut shares, &mut left, |share| share.want.min(share.quota));
+    fill(&mut shares, &mut left, |share| share.want);
+    shares
+        .into_iter()
+        .map(|share| (share.customer, share.given))
+        .collect()
+}
+
+fn share_of(world: &World, customer: CustomerId, want: u32) -> Share {
+    let entry = world
+        .config
+        .as_ref()
+        .and_then(|config| config.customer(customer));
+    let weight = entry.map_or(1, |entry| entry.weight);
+    let quota = entry
+        .and_then(|entry| entry.quota_slots)
+        .unwrap_or(u32::MAX);
+    Share {
+        customer,
+        weight,
+        want,
+        quota,
+        given: 0,
+    }
+}
+
+/// Gives out `left` slots one by one to the customer with the fewest per weight below its limit.
+fn fill(shares: &mut [Share], left: &mut u32, limit: impl Fn(&Share) -> u32) {
+    while *left > 0 {
+        let hungry = shares.iter_mut().filter(|share| share.given < limit(share));
+        let next = hungry.min_by(|a, b| {
+            let (a, b) = (per_weight(a), per_weight(b));
+            a.total_cmp(&b)
+        });
+        let Some(share) = next else {
+            return;
+        };
+        share.given += 1;
+        *left -= 1;
+    }
+}
+
+fn per_weight(share: &Share) -> f64 {
+    f64::from(share.given) / f64::from(share.weight)
+}
+
+/// Grants free slots to the issuers of the claims that have fewer than the plan gives them.
+fn grant_free(
+    claims: &[PlannedClaim],
+    issuers: &mut [PlannedIssuer],
+    free: &mut Vec<FreeSlots>,
+    top_speed: f64,
+) {
+    for planned in claims {
+        let waiting = planned.target.saturating_sub(planned.claim.running);
+        let issuer = &mut issuers[planned.issuer];
+        let mut missing = issuer.target.saturating_sub(issuer.held).min(waiting);
+        for class in 0..SPEED_CLASSES {
+            let width = u32::from(planned.claim.width.max(1));
+            let mut slots = planned.claim.needs.0[class].min(missing);
+            while slots > 0 {
+                let speed = SpeedNeeds::fraction_of(class) * top_speed;
+                let Some(position) = choose_free(free, issuer, speed, width) else {
+                    reserve(free, width);
+                    break;
+                };
+                let granted = take(free, issuer, position, width);
+                slots = slots.saturating_sub(granted);
+                missing = missing.saturating_sub(granted);
+            }
+        }
+    }
+}
+
+/// Chooses the slowest free executor of at least `speed`, or else the fastest.
+fn choose_free(
+    free: &[FreeSlots],
+    issuer: &PlannedIssuer,
+    speed: f64,
+    width: u32,
+) -> Option<usize> {
+    let fits = |slots: &FreeSlots| slots.slots >= width && issuer.takes(slots.executor);
+    let enough = free
+        .iter()
+        .position(|slots| slots.speed >= speed && fits(slots));
+    enough.or_else(|| free.iter().rposition(fits))
+}
+
+impl PlannedIssuer {
+    fn takes(&self, executor: ExecutorId) -> bool {
+        matches!(
+            self.avoid.get(&executor),
+            None | Some(AvoidCause::Probation)
+        )
+    }
+}
+
+fn take(free: &mut Vec<FreeSlots>, issuer: &mut PlannedIssuer, position: usize, width: u32) -> u32 {
+    let slots = &mut free[position];
+    slots.slots -= width;
+    issuer.held += width;
+    let granted = issuer.grants.entry(slots.executor).or_insert(0);
+    *granted += u16::try_from(width).unwrap_or(u16::MAX);
+    if slots.slots == 0 {
+        free.remove(position);
+    }
+    width
+}
+
+/// Keeps the executor with the most free slots for a task that is wider than what is free.
+fn reserve(free: &mut Vec<FreeSlots>, width: u32) {
+    if width <= 1 {
+        return;
+    }
+    let widest = free.iter().enumerate().max_by_key(|(_, slots)| slots.slots);
+    if let Some((position, _)) = widest {
+        free.remove(position);
+    }
+}
+
+/// Asks issuers with more than the plan gives them for as much as others lack.
+fn plan_recalls(issuers: &mut [PlannedIssuer]) {
+    let lacking = issuers
+        .iter()
+        .map(|issuer| issuer.target.saturating_sub(issuer.held));
+    let mut shortage: u32 = lacking.sum();
+    for issuer in issuers.iter_mut() {
+        let surplus = issuer.held.saturating_sub(issuer.target);
+        issuer.recall = surplus.min(shortage);
+        shortage -= issuer.recall;
+    }
+}
+
+/// Estimates the time until newly submitted work starts: waiting work over the pool's speed.
+fn expected_wait(world: &World, now: Time, claims: &[PlannedClaim]) -> Duration {
+    let work: f64 = claims
+        .iter()
+        .map(|planned| planned.claim.work.as_secs_f64())
+        .sum();
+    let rows = world.executors.iter().filter(|row| row.accepts_work());
+    let reachable = rows.filter(|row| is_reachable(world, now, row.vm.id));
+    let speed: f64 = reachable
+        .map(|row| row.speed() * f64::from(row.vm.slots))
+        .sum();
+    if speed <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(work / speed)
+}
+
+fn tell(world: &mut World, cx: &mut Cx<'_>, issuers: &[PlannedIssuer], wait: Duration) {
+    let wait_changed = world.owner.told_wait.abs_diff(wait) >= WAIT_STEP;
+    if wait_changed {
+        world.owner.told_wait = wait;
+    }
+    for issuer in issuers {
+        let recall_changed = issuer.recall != issuer.told_recall;
+        if !issuer.grants.is_empty() || recall_changed || wait_changed {
+            send_grant(world, cx, issuer, wait);
+        }
+    }
+}
+
+fn send_grant(world: &mut World, cx: &mut Cx<'_>, issuer: &PlannedIssuer, wait: Duration) {
+    let mut slots: Vec<_> = issuer
+        .grants
+        .iter()
+        .map(|(&executor, &slots)| Holding { executor, slots })
+        .collect();
+    slots.sort_by_key(|holding| holding.executor);
+    let Some(row) = world.ledger.get_mut(issuer.id) else {
+        return;
+    };
+    row.recall = issuer.recall;
+    let seq = row.record_grant(&slots, cx.now);
+    world.counters.grants += 1;
+    let grant = Grant {
+        seq,
+        slots,
+        recall: issuer.recall,
+        expected_wait: wait,
+    };
+    cx.send(world, issuer.id, Message::Grant(grant));
+}
--- /dev/null
+++ b/crates/core/src/systems/starts.rs
@@ -0,0 +1,191 @@
+//! What became of started tasks.
+
+use super::{jobs, usage};
+use crate::model::ids::{AttemptId, ExecutorId};
+use crate::model::outcome::FailureReason;
+use crate::model::request::{NotStarted, StartReply};
+use crate::model::time::Time;
+use crate::tables::attempt_table::Attempt;
+use crate::tables::executor_table::Health;
+use crate::world::{Cx, World};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Takes in the end of an attempt. A late reply to an attempt that was given up is dropped.
+pub fn ended(world: &mut World, cx: &mut Cx<'_>, id: AttemptId, reply: StartReply) {
+    let Some(attempt) = world.attempts.take(id) else {
+        return;
+    };
+    free_slots(world, &attempt);
+    match reply {
+        StartReply::Done { result, slot_time } => {
+            done(world, cx, id, &attempt, result, slot_time);
+        }
+        StartReply::Failed { slot_time, aborted } => {
+            failed(world, cx, id, &attempt, slot_time, aborted);
+        }
+        StartReply::NotStarted(reason) => not_started(world, cx, id, &attempt, reason),
+        StartReply::Lost => lost(world, cx, id, &attempt),
+    }
+    jobs::index(world, attempt.job);
+}
+
+/// Gives up an attempt whose time is over.
+pub fn timed_out(world: &mut World, cx: &mut Cx<'_>, id: AttemptId) {
+    ended(world, cx, id, StartReply::Lost);
+}
+
+fn free_slots(world: &mut World, attempt: &Attempt) {
+    if let Some(row) = world.executors.get_mut(attempt.executor) {
+        row.in_use = row.in_use.saturating_sub(attempt.slots);
+    }
+    if let Some(running) = world.running_slots.get_mut(&attempt.customer) {
+        *running = running.saturating_sub(u32::from(attempt.slots));
+    }
+}
+
+fn done(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    id: AttemptId,
+    attempt: &Attempt,
+    result: Arc<str>,
+    slot_time: Duration,
+) {
+    world.usage.settle(attempt.customer, slot_time);
+    learn(world, attempt, slot_time);
+    let Some(job) = world.jobs.get_mut(attempt.job) else {
+        return;
+    };
+    if job.runs(attempt.index, id) {
+        job.finish_task(attempt.index, result);
+        jobs::complete_if_done(world, cx, attempt.job);
+    }
+}
+
+fn learn(world: &mut World, attempt: &Attempt, slot_time: Duration) {
+    let observed = slot_time / u32::from(attempt.slots.max(1));
+    let Some(row) = world.executors.get_mut(attempt.executor) else {
+        return;
+    };
+    row.note_success();
+    let speed = row.speed();
+    row.learn_speed(attempt.estimate.div_f64(speed), observed);
+    world
+        .estimator
+        .learn(&attempt.kind, attempt.declared, observed.mul_f64(speed));
+}
+
+fn failed(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    id: AttemptId,
+    attempt: &Attempt,
+    slot_time: Duration,
+    aborted: bool,
+) {
+    world.usage.settle(attempt.customer, slot_time);
+    if aborted {
+        return;
+    }
+    let policy = &world.policy;
+    if let Some(row) = world.executors.get_mut(attempt.executor) {
+        let trusted = !matches!(row.health, Health::Ejected { .. });
+        row.note_failure(cx.now, policy);
+        if trusted && matches!(row.health, Health::Ejected { .. }) {
+            world.counters.ejections += 1;
+        }
+    }
+    schedule_review(world, cx.now, attempt.executor);
+    repeat_or_fail(world, cx, id, attempt, FailureReason::TaskFailed);
+}
+
+fn lost(world: &mut World, cx: &mut Cx<'_>, id: AttemptId, attempt: &Attempt) {
+    world.counters.lost += 1;
+    usage::note_lost(world, cx.now, attempt);
+    let policy = &world.policy;
+    if let Some(row) = world.executors.get_mut(attempt.executor) {
+        if !matches!(row.health, Health::Ejected { .. }) {
+            row.eject(cx.now, policy);
+            world.counters.ejections += 1;
+        }
+        row.held = row.held.min(row.in_use);
+    }
+    schedule_review(world, cx.now, attempt.executor);
+    repeat_or_fail(world, cx, id, attempt, FailureReason::OutcomeLost);
+}
+
+fn repeat_or_fail(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    id: AttemptId,
+    attempt: &Attempt,
+    reason: FailureReason,
+) {
+    let max_attempts = world.policy.max_attempts;
+    let Some(job) = world.jobs.get_mut(attempt.job) else {
+        return;
+    };
+    if !job.runs(attempt.index, id) {
+        return;
+    }
+    if job.may_repeat(attempt.index, max_attempts) {
+        job.requeue_task(attempt.index, true);
+        return;
+    }
+    jobs::fail(world, cx, attempt.job, reason);
+}
+
+fn not_started(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    id: AttemptId,
+    attempt: &Attempt,
+    reason: NotStarted,
+) {
+    world.counters.not_started += 1;
+    note_refusal(world, cx.now, attempt, reason);
+    schedule_review(world, cx.now, attempt.executor);
+    let Some(job) = world.jobs.get_mut(attempt.job) else {
+        return;
+    };
+    if job.runs(attempt.index, id) {
+        job.requeue_task(attempt.index, false);
+    }
+}
+
+fn note_refusal(world: &mut World, now: Time, attempt: &Attempt, reason: NotStarted) {
+    let policy = &world.policy;
+    let Some(row) = world.executors.get_mut(attempt.executor) else {
+        return;
+    };
+    match reason {
+        NotStarted::Busy => row.backoff_until = now + policy.busy_backoff,
+        NotStarted::Leaving => row.said_leaving = true,
+        NotStarted::Unreachable => {
+            if !matches!(row.health, Health::Ejected { .. }) {
+                row.eject(now, policy);
+                world.counters.ejections += 1;
+            }
+        }
+    }
+    row.held = row.held.saturating_sub(attempt.slots).max(row.in_use);
+    world.issuer.wants = true;
+    world.issuer.changed = true;
+}
+
+/// Subscribes to the time at which an executor that gets nothing is looked at again.
+fn schedule_review(world: &mut World, now: Time, executor: ExecutorId) {
+    let Some(row) = world.executors.get(executor) else {
+        return;
+    };
+    let until = match row.health {
+        Health::Ejected { until } => until.max(row.backoff_until),
+        Health::Trusted | Health::Probation => row.backoff_until,
+    };
+    if until > now {
+        world
+            .timers
+            .subscribe(until, crate::timers::Timer::ExecutorReview);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/usage.rs
@@ -0,0 +1,48 @@
+//! Reports of slot time.
+
+use crate::collections::FastMap;
+use crate::model::ids::CustomerId;
+use crate::model::store::{StoreOp, UsageReport};
+use crate::model::time::Time;
+use crate::tables::attempt_table::Attempt;
+use crate::tables::store_op_table::StoreTask;
+use crate::world::{Cx, World};
+use std::time::Duration;
+
+/// Notes the slot time that a lost attempt used at most until now.
+pub fn note_lost(world: &mut World, now: Time, attempt: &Attempt) {
+    let bound = slot_time_bound(now, attempt);
+    world.usage.note_lost(attempt.customer, bound);
+}
+
+fn slot_time_bound(now: Time, attempt: &Attempt) -> Duration {
+    now.since(attempt.started) * u32::from(attempt.slots)
+}
+
+/// Builds the cumulative report.
+pub fn report(world: &World, now: Time, closed: bool) -> UsageReport {
+    let mut outstanding: FastMap<CustomerId, Duration> = FastMap::default();
+    for attempt in world.attempts.iter() {
+        *outstanding.entry(attempt.customer).or_default() += slot_time_bound(now, attempt);
+    }
+    let lines = world.usage.lines(&outstanding);
+    UsageReport {
+        incarnation: world.me,
+        closed,
+        lines,
+    }
+}
+
+/// Writes the report if it changed and no write is unsettled.
+pub fn write_if_changed(world: &mut World, cx: &mut Cx<'_>) {
+    if !world.store_ops.writes_usage() && world.usage.take_changed() {
+        write(world, cx, false);
+    }
+}
+
+/// Writes the report.
+pub fn write(world: &mut World, cx: &mut Cx<'_>, closing: bool) {
+    let report = report(world, cx.now, closing);
+    let task = StoreTask::Usage { closing };
+    super::store::submit(world, cx, task, StoreOp::WriteUsage(report));
+}
--- /dev/null
+++ b/crates/core/src/tables/job.rs
@@ -0,0 +1,198 @@
+//! The entity of an open job.
+
+use crate::model::ids::{AttemptId, CustomerId};
+use crate::model::job_id::JobId;
+use crate::model::request::Caller;
+use crate::model::spec::{JobSpec, Repeatability, TaskSpec};
+use crate::model::time::Time;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where a task of an open job stands.
+#[derive(Clone, Debug)]
+pub enum TaskState {
+    /// Not started; in the queue of the job.
+    Waiting,
+    /// Started under this attempt; its outcome is outstanding.
+    Running(AttemptId),
+    /// Ended with this result.
+    Done(Arc<str>),
+}
+
+/// An open job.
+///
+/// Invariants: `queue` holds exactly the indices of the waiting tasks, the longest last;
+/// `running` counts the running ones, `done` the ended ones; `remaining` is the sum of the
+/// estimates of the waiting and the running tasks.
+#[derive(Debug)]
+pub struct Job {
+    /// The id.
+    pub id: JobId,
+    /// The customer.
+    pub customer: CustomerId,
+    /// What was submitted.
+    pub spec: JobSpec,
+    /// State per task.
+    pub tasks: Vec<TaskState>,
+    /// Estimated run time per task on an executor of speed 1.
+    pub estimates: Vec<Duration>,
+    /// Starts per task that may have taken place.
+    pub starts: Vec<u8>,
+    /// Waiting tasks, the longest last.
+    pub queue: Vec<u32>,
+    /// Running tasks.
+    pub running: u32,
+    /// Slots of running tasks.
+    pub running_slots: u32,
+    /// Slots that waiting tasks need.
+    pub waiting_slots: u32,
+    /// Ended tasks.
+    pub done: u32,
+    /// Estimated work that is left.
+    pub remaining: Duration,
+    /// Time of submission.
+    pub arrived: Time,
+    /// Time after which the answer is of no use.
+    pub deadline: Option<Time>,
+    /// When the running tasks are expected to have ended.
+    pub expected_end: Time,
+    /// Who waits for the answer.
+    pub waiters: Vec<Caller>,
+}
+
+impl Job {
+    /// Builds a job none of whose tasks is started.
+    #[must_use]
+    pub fn new(
+        id: JobId,
+        customer: CustomerId,
+        spec: JobSpec,
+        estimates: Vec<Duration>,
+        now: Time,
+    ) -> Self {
+        let count = spec.tasks.len();
+        let mut queue: Vec<u32> = (0..).take(count).collect();
+        queue.sort_by_key(|&i| (estimates[i as usize], std::cmp::Reverse(i)));
+        Self {
+            id,
+            customer,
+            tasks: vec![TaskState::Waiting; count],
+            starts: vec![0; count],
+            queue,
+            running: 0,
+            running_slots: 0,
+            waiting_slots: spec.tasks.iter().map(|task| u32::from(task.slots)).sum(),
+            done: 0,
+            remaining: estimates.iter().sum(),
+            estimates,
+            arrived: now,
+            deadline: spec.deadline.map(|span| now + span),
+            expected_end: now,
+            spec,
+            waiters: Vec::new(),
+        }
+    }
+
+    /// Returns the longest waiting task.
+    #[must_use]
+    pub fn next_task(&self) -> Option<(u32, &TaskSpec, Duration)> {
+        let index = *self.queue.last()?;
+        let i = index as usize;
+        Some((index, &self.spec.tasks[i], self.estimates[i]))
+    }
+
+    /// Marks the longest waiting task as started under `attempt`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no task waits.
+    pub fn start_next(&mut self, attempt: AttemptId) {
+        let index = self.queue.pop().expect("a task waits") as usize;
+        let slots = u32::from(self.spec.tasks[index].slots);
+        self.tasks[index] = TaskState::Running(attempt);
+        self.starts[index] = self.starts[index].saturating_add(1);
+        self.running += 1;
+        self.running_slots += slots;
+        self.waiting_slots -= slots;
+    }
+
+    /// Tells whether the task at `index` runs under `attempt`.
+    #[must_use]
+    pub fn runs(&self, index: u32, attempt: AttemptId) -> bool {
+        let state = &self.tasks[index as usize];
+        matches!(state, TaskState::Running(current) if *current == attempt)
+    }
+
+    /// Stores the result of a running task.
+    pub fn finish_task(&mut self, index: u32, result: Arc<str>) {
+        let i = index as usize;
+        self.tasks[i] = TaskState::Done(result);
+        self.leave_running(i);
+        self.done += 1;
+        self.remaining = self.remaining.saturating_sub(self.estimates[i]);
+    }
+
+    /// Puts a running task back into the queue. `started` tells whether it may have run.
+    pub fn requeue_task(&mut self, index: u32, started: bool) {
+        let i = index as usize;
+        self.tasks[i] = TaskState::Waiting;
+        self.leave_running(i);
+        self.waiting_slots += u32::from(self.spec.tasks[i].slots);
+        if !started {
+            self.starts[i] -= 1;
+        }
+        let key = (self.estimates[i], std::cmp::Reverse(index));
+        let position = self.queue.partition_point(|&other| {
+            (self.estimates[other as usize], std::cmp::Reverse(other)) < key
+        });
+        self.queue.insert(position, index);
+    }
+
+    fn leave_running(&mut self, i: usize) {
+        self.running -= 1;
+        self.running_slots -= u32::from(self.spec.tasks[i].slots);
+    }
+
+    /// Tells whether any task may have run.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.starts.iter().any(|&count| count > 0)
+    }
+
+    /// Tells whether the task at `index` may be started again after an ambiguous loss.
+    #[must_use]
+    pub fn may_repeat(&self, index: u32, max_attempts: u32) -> bool {
+        let repeatable = self.spec.repeatability == Repeatability::Repeatable;
+        repeatable && u32::from(self.starts[index as usize]) < max_attempts
+    }
+
+    /// Returns the results in task order if every task ended.
+    #[must_use]
+    pub fn results(&self) -> Option<Arc<[Arc<str>]>> {
+        self.tasks
+            .iter()
+            .map(|state| match state {
+                TaskState::Done(result) => Some(Arc::clone(result)),
+                TaskState::Waiting | TaskState::Running(_) => None,
+            })
+            .collect()
+    }
+
+    /// Returns the attempts whose outcome is outstanding.
+    pub fn running_attempts(&self) -> impl Iterator<Item = AttemptId> + '_ {
+        self.tasks.iter().filter_map(|state| match state {
+            TaskState::Running(attempt) => Some(*attempt),
+            TaskState::Waiting | TaskState::Done(_) => None,
+        })
+    }
+
+    /// Returns the width of the widest waiting task, in slots.
+    #[must_use]
+    pub fn widest_waiting(&self) -> u16 {
+        let slots = self
+            .queue
+            .iter()
+            .map(|&i| self.spec.tasks[i as usize].slots);
+        slots.max().unwrap_or(1)
+    }
+}
--- /dev/null
+++ b/crates/core/src/tables/job_table.rs
@@ -0,0 +1,201 @@
+//! The jobs of this incarnation.
+
+use super::job::Job;
+use crate::collections::FastMap;
+use crate::model::ids::CustomerId;
+use crate::model::incarnation::Incarnation;
+use crate::model::job_id::{IdKey, JobId};
+use crate::model::message::ArchivedOutcome;
+use crate::model::outcome::Outcome;
+use crate::model::time::Time;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A job whose outcome is final.
+#[derive(Debug)]
+struct ClosedJob {
+    customer: CustomerId,
+    outcome: Outcome,
+    at: Time,
+}
+
+/// What the table knows of an id.
+#[derive(Debug)]
+pub enum Lookup<'a> {
+    /// The job is open.
+    Open,
+    /// The outcome is final.
+    Closed(&'a Outcome),
+    /// Issued, and nothing was submitted.
+    NotSubmitted,
+    /// Too old; what became of it is forgotten.
+    Expired,
+    /// Not issued by this incarnation to this customer.
+    NoSuchJob,
+}
+
+/// All ids that this incarnation issued.
+///
+/// Invariant: an id whose counter is below `floor` and which is in neither map never starts,
+/// whether or not it was submitted; so forgetting a closed job below the floor is safe.
+#[derive(Debug)]
+pub struct JobTable {
+    issuer: Incarnation,
+    key: IdKey,
+    next: u64,
+    floor: u64,
+    open: FastMap<u64, Job>,
+    closed: FastMap<u64, ClosedJob>,
+    checkpoints: VecDeque<(Time, u64)>,
+}
+
+impl JobTable {
+    /// Builds the empty table of `issuer`.
+    #[must_use]
+    pub fn new(issuer: Incarnation, key: IdKey) -> Self {
+        Self {
+            issuer,
+            key,
+            next: 0,
+            floor: 0,
+            open: FastMap::default(),
+            closed: FastMap::default(),
+            checkpoints: VecDeque::new(),
+        }
+    }
+
+    /// Issues a fresh id to `customer`.
+    pub fn issue(&mut self, customer: CustomerId) -> JobId {
+        let counter = self.next;
+        self.next += 1;
+        JobId {
+            issuer: self.issuer,
+            counter,
+            tag: self.key.tag(counter, customer),
+        }
+    }
+
+    /// Looks up an id that names this incarnation as its issuer.
+    #[must_use]
+    pub fn look_up(&self, id: JobId, customer: CustomerId) -> Lookup<'_> {
+        if id.counter >= self.next || !self.key.verifies(id, customer) {
+            return Lookup::NoSuchJob;
+        }
+        if self.open.contains_key(&id.counter) {
+            return Lookup::Open;
+        }
+        if let Some(job) = self.closed.get(&id.counter) {
+            return Lookup::Closed(&job.outcome);
+        }
+        if id.counter < self.floor {
+            return Lookup::Expired;
+        }
+        Lookup::NotSubmitted
+    }
+
+    /// Adds an open job whose id was looked up as not submitted.
+    pub fn insert(&mut self, job: Job) {
+        let counter = job.id.counter;
+        let previous = self.open.insert(counter, job);
+        debug_assert!(previous.is_none() && !self.closed.contains_key(&counter));
+    }
+
+    /// Returns an open job.
+    pub fn get_mut(&mut self, counter: u64) -> Option<&mut Job> {
+        self.open.get_mut(&counter)
+    }
+
+    /// Returns an open job.
+    #[must_use]
+    pub fn get(&self, counter: u64) -> Option<&Job> {
+        self.open.get(&counter)
+    }
+
+    /// Removes an open job and makes `outcome` its answer.
+    pub fn close_job(&mut self, counter: u64, outcome: Outcome, now: Time) -> Option<Job> {
+        let job = self.open.remove(&counter)?;
+        let customer = job.customer;
+        self.closed.insert(
+            counter,
+            ClosedJob {
+                customer,
+                outcome,
+                at: now,
+            },
+        );
+        Some(job)
+    }
+
+    /// Makes `outcome` the answer of an id that was never submitted, so that it never starts.
+    pub fn burn(&mut self, counter: u64, customer: CustomerId, outcome: Outcome, now: Time) {
+        debug_assert!(!self.open.contains_key(&counter));
+        self.closed.insert(
+            counter,
+            ClosedJob {
+                customer,
+                outcome,
+                at: now,
+            },
+        );
+    }
+
+    /// Expires ids and forgets outcomes that are older than `retention`.
+    pub fn forget_old(&mut self, now: Time, retention: Duration) {
+        self.checkpoints.push_back((now, self.next));
+        while let Some(&(at, counter)) = self.checkpoints.front() {
+            if now.since(at) < retention {
+                break;
+            }
+            self.floor = counter;
+            self.checkpoints.pop_front();
+        }
+        let floor = self.floor;
+        self.closed
+            .retain(|&counter, job| counter >= floor || now.since(job.at) < retention);
+    }
+
+    /// Returns the open jobs.
+    pub fn iter_open(&self) -> impl Iterator<Item = &Job> {
+        self.open.values()
+    }
+
+    /// Returns the number of open jobs.
+    #[must_use]
+    pub fn open_len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns the number of kept outcomes.
+    #[must_use]
+    pub fn closed_len(&self) -> usize {
+        self.closed.len()
+    }
+
+    /// Returns the key with which ids are signed.
+    #[must_use]
+    pub const fn key(&self) -> IdKey {
+        self.key
+    }
+
+    /// Returns the first counter that is still kept and the first that was never issued.
+    #[must_use]
+    pub const fn bounds(&self) -> (u64, u64) {
+        (self.floor, self.next)
+    }
+
+    /// Returns all final outcomes, for a hand-over.
+    #[must_use]
+    pub fn outcomes(&self) -> Vec<ArchivedOutcome> {
+        let mut outcomes: Vec<_> = self
+            .closed
+            .iter()
+            .map(|(&counter, job)| ArchivedOutcome {
+                counter,
+                customer: job.customer,
+                outcome: job.outcome.clone(),
+            })
+            .collect();
+        outcomes.sort_by_key(|outcome| outcome.counter);
+        outcomes
+    }
+}
--- /dev/null
+++ b/crates/core/src/tables/mod.rs
@@ -0,0 +1,14 @@
+//! Tables of entities, over which the systems run.
+
+pub mod archive;
+pub mod attempt_table;
+pub mod estimator;
+pub mod executor_table;
+pub mod forward_table;
+pub mod job;
+pub mod job_table;
+pub mod ledger;
+pub mod member_table;
+pub mod ready_index;
+pub mod store_op_table;
+pub mod usage_table;
--- /dev/null
+++ b/crates/core/src/tables/ready_index.rs
@@ -0,0 +1,74 @@
+//! Jobs with waiting tasks, in the order in which they are served.
+
+use crate::collections::FastMap;
+use crate::model::ids::CustomerId;
+use std::collections::BTreeSet;
+
+/// Jobs with waiting tasks per customer, the most urgent first.
+///
+/// A job's key grows with its remaining work and with its arrival time, so waiting makes it more
+/// urgent than later ones without any update.
+#[derive(Debug, Default)]
+pub struct ReadyIndex {
+    queues: FastMap<CustomerId, BTreeSet<(u64, u64)>>,
+    keys: FastMap<u64, (CustomerId, u64)>,
+}
+
+impl ReadyIndex {
+    /// Adds the job with `counter`, or moves it to `key`.
+    pub fn set(&mut self, counter: u64, customer: CustomerId, key: u64) {
+        if self.keys.get(&counter) == Some(&(customer, key)) {
+            return;
+        }
+        self.remove(counter);
+        self.keys.insert(counter, (customer, key));
+        self.queues
+            .entry(customer)
+            .or_default()
+            .insert((key, counter));
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, counter: u64) {
+        let Some((customer, key)) = self.keys.remove(&counter) else {
+            return;
+        };
+        if let Some(queue) = self.queues.get_mut(&customer) {
+            queue.remove(&(key, counter));
+            if queue.is_empty() {
+                self.queues.remove(&customer);
+            }
+        }
+    }
+
+    /// Returns the customers with waiting tasks in a fixed order.
+    #[must_use]
+    pub fn customers(&self) -> Vec<CustomerId> {
+        let mut customers: Vec<_> = self.queues.keys().copied().collect();
+        customers.sort_unstable();
+        customers
+    }
+
+    /// Returns the jobs of a customer as key and counter, the most urgent first.
+    pub fn jobs(&self, customer: CustomerId) -> impl Iterator<Item = (u64, u64)> + '_ {
+        self.queues.get(&customer).into_iter().flatten().copied()
+    }
+
+    /// Returns all jobs as key, counter and customer, the most urgent first.
+    #[must_use]
+    pub fn ranked(&self) -> Vec<(u64, u64, CustomerId)> {
+        let mut jobs: Vec<_> = self
+            .keys
+            .iter()
+            .map(|(&counter, &(customer, key))| (key, counter, customer))
+            .collect();
+        jobs.sort_unstable();
+        jobs
+    }
+
+    /// Tells whether no task waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/tables/usage_table.rs
@@ -0,0 +1,69 @@
+//! Slot time credited to customers.
+
+use crate::collections::FastMap;
+use crate::model::ids::CustomerId;
+use crate::model::store::UsageLine;
+use std::time::Duration;
+
+/// Totals of one customer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Totals {
+    settled: Duration,
+    lost: Duration,
+    tasks: u64,
+}
+
+/// Cumulative slot time per customer.
+#[derive(Debug, Default)]
+pub struct UsageTable {
+    rows: FastMap<CustomerId, Totals>,
+    changed: bool,
+}
+
+impl UsageTable {
+    /// Credits slot time that an executor reported.
+    pub fn settle(&mut self, customer: CustomerId, slot_time: Duration) {
+        let row = self.rows.entry(customer).or_default();
+        row.settled += slot_time;
+        row.tasks += 1;
+        self.changed = true;
+    }
+
+    /// Notes slot time that a lost attempt used at most.
+    pub fn note_lost(&mut self, customer: CustomerId, bound: Duration) {
+        let row = self.rows.entry(customer).or_default();
+        row.lost += bound;
+        self.changed = true;
+    }
+
+    /// Returns the lines, with `outstanding` slot time of running attempts as unsettled.
+    #[must_use]
+    pub fn lines(&self, outstanding: &FastMap<CustomerId, Duration>) -> Vec<UsageLine> {
+        let mut customers: Vec<CustomerId> = self.rows.keys().copied().collect();
+        customers.extend(outstanding.keys().filter(|id| !self.rows.contains_key(id)));
+        customers.sort_unstable();
+        customers
+            .into_iter()
+            .map(|customer| {
+                let totals = self.rows.get(&customer).copied().unwrap_or_default();
+                let running = outstanding.get(&customer).copied().unwrap_or_default();
+                UsageLine {
+                    customer,
+                    settled: totals.settled,
+                    unsettled: totals.lost + running,
+                    tasks: totals.tasks,
+                }
+            })
+            .collect()
+    }
+
+    /// Tells whether anything changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Notes that the last write may not have taken effect.
+    pub fn mark_changed(&mut self) {
+        self.changed = true;
+    }
+}
--- /dev/null
+++ b/crates/test/src/executor.rs
@@ -0,0 +1,358 @@
+//! An executor: runs tasks in slots and counts every start.
+//!
+//! | request | meaning |
+//! |---|---|
+//! | `POST /v1/start` | runs one task; answers when it ended |
+//! | `POST /v1/abort` | ends a running attempt |
+//! | `GET /v1/counts` | what was started, and slot time per customer |
+//! | `PUT /v1/faults` | sets the fault switches |
+//!
+//! A task's payload may hold `run_ms`, its run time at speed 1, and `echo`, which is returned.
+
+use crate::http::{HttpThread, path, read_body, respond};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tiny_http::{Method, Request};
+
+/// How an executor is set up.
+#[derive(Clone, Debug)]
+pub struct ExecutorConfig {
+    /// Name in the VM list.
+    pub name: String,
+    /// Address to listen on.
+    pub listen: String,
+    /// Slots.
+    pub slots: u16,
+    /// Speed relative to the reference machine.
+    pub speed: f64,
+}
+
+/// Fault switches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ExecutorFaults {
+    /// Every task that is started fails at once.
+    pub fail_all: bool,
+    /// Tasks run and are counted, and no answer is ever sent.
+    pub silent: bool,
+    /// New starts are refused as leaving.
+    pub leaving: bool,
+}
+
+/// What an executor counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExecutorCounts {
+    /// Starts of tasks.
+    pub starts: u64,
+    /// Starts refused as busy or leaving.
+    pub refused: u64,
+    /// Starts that came while leaving.
+    pub refused_leaving: u64,
+    /// Starts per task, by `job/index`; tasks of repeatable jobs are not listed.
+    pub starts_by_task: BTreeMap<String, u32>,
+    /// Slot time per customer, in microseconds.
+    pub slot_us: BTreeMap<String, u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StartBody {
+    job: String,
+    index: u32,
+    attempt: String,
+    customer: String,
+    slots: u16,
+    #[serde(default)]
+    repeatable: bool,
+    payload: serde_json::Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct AbortBody {
+    attempt: String,
+}
+
+struct Running {
+    request: Option<Request>,
+    body: StartBody,
+    started: Instant,
+    failed: bool,
+}
+
+impl std::fmt::Debug for Running {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Running")
+            .field("body", &self.body)
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    running: HashMap<u64, Running>,
+    by_attempt: HashMap<String, u64>,
+    due: BinaryHeap<Reverse<(Instant, u64)>>,
+    next: u64,
+    used: u16,
+    faults: ExecutorFaults,
+    counts: ExecutorCounts,
+    closed: bool,
+}
+
+#[derive(Debug)]
+struct Shared {
+    config: ExecutorConfig,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The stand-in, running on threads of this process.
+#[derive(Debug)]
+pub struct ExecutorStandIn {
+    shared: Arc<Shared>,
+    http: HttpThread,
+    clock: std::thread::JoinHandle<()>,
+}
+
+impl ExecutorStandIn {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start(config: ExecutorConfig) -> eyre::Result<Self> {
+        let listen = config.listen.clone();
+        let state = Mutex::new(State::default());
+        let shared = Arc::new(Shared {
+            config,
+            state,
+            changed: Condvar::new(),
+        });
+        let handler = Arc::clone(&shared);
+        let http = HttpThread::start(&listen, move |request| handler.serve(request))?;
+        let ticker = Arc::clone(&shared);
+        let clock = std::thread::spawn(move || ticker.run_clock());
+        Ok(Self {
+            shared,
+            http,
+            clock,
+        })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Returns the element of the VM list that describes this executor.
+    #[must_use]
+    pub fn listed(&self, data_centre: &str, state: &str) -> serde_json::Value {
+        let config = &self.shared.config;
+        serde_json::json!({
+            "name": config.name,
+            "data_centre": data_centre,
+            "address": self.address().to_string(),
+            "slots": config.slots,
+            "speed": config.speed,
+            "state": state,
+        })
+    }
+
+    /// Sets the fault switches.
+    pub fn set_faults(&self, faults: ExecutorFaults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// Returns what was counted so far.
+    #[must_use]
+    pub fn counts(&self) -> ExecutorCounts {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Returns the number of running tasks.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.shared.lock().running.len()
+    }
+
+    /// Stops the stand-in.
+    pub fn close(self) {
+        self.shared.lock().closed = true;
+        self.shared.changed.notify_all();
+        self.http.close();
+        drop(self.clock.join());
+    }
+
+    /// Serves until the process ends.
+    pub fn wait(self) {
+        self.http.wait();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, mut request: Request) {
+        let url = request.url().to_owned();
+        let body = read_body(&mut request).unwrap_or_default();
+        match (request.method(), path(&url)) {
+            (Method::Post, "/v1/start") => match serde_json::from_str(&body) {
+                Ok(start) => self.start(request, start),
+                Err(_) => respond(
+                    request,
+                    400,
+                    r#"{"status":"not_started","reason":"invalid"}"#,
+                ),
+            },
+            (Method::Post, "/v1/abort") => self.abort(request, &body),
+            (Method::Get, "/v1/counts") => {
+                let counts = serde_json::to_string(&self.lock().counts).expect("plain counts");
+                respond(request, 200, &counts);
+            }
+            (Method::Put, "/v1/faults") => match serde_json::from_str(&body) {
+                Ok(faults) => {
+                    self.lock().faults = faults;
+                    respond(request, 200, "{}");
+                }
+                Err(_) => respond(request, 400, "{}"),
+            },
+            _ => respond(request, 404, "{}"),
+        }
+    }
+
+    fn start(&self, request: Request, body: StartBody) {
+        let mut state = self.lock();
+        let reason = if state.faults.leaving {
+            Some("leaving")
+        } else if state.used + body.slots > self.config.slots {
+            Some("busy")
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            state.counts.refused += 1;
+            state.counts.refused_leaving += u64::from(reason == "leaving");
+            drop(state);
+            let body = format!(r#"{{"status":"not_started","reason":"{reason}"}}"#);
+            respond(request, 409, &body);
+            return;
+        }
+        let run_ms = body
+            .payload
+            .get("run_ms")
+            .and_then(serde_json::Value::as_f64)
+            .unwrap_or(0.0);
+        let failed = state.faults.fail_all || body.payload.get("fail").is_some();
+        let run = if state.faults.fail_all {
+            0.0
+        } else {
+            run_ms / 1_000.0 / self.config.speed
+        };
+        let started = Instant::now();
+        let at = started + Duration::from_secs_f64(run.max(0.0));
+        let number = state.next;
+        state.next += 1;
+        state.used += body.slots;
+        state.counts.starts += 1;
+        if !body.repeatable {
+            let task = format!("{}/{}", body.job, body.index);
+            *state.counts.starts_by_task.entry(task).or_insert(0) += 1;
+        }
+        let request = (!state.faults.silent).then_some(request);
+        state.by_attempt.insert(body.attempt.clone(), number);
+        state.running.insert(
+            number,
+            Running {
+                request,
+                body,
+                started,
+                failed,
+            },
+        );
+        state.due.push(Reverse((at, number)));
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    fn abort(&self, request: Request, body: &str) {
+        let attempt = serde_json::from_str::<AbortBody>(body).map(|body| body.attempt);
+        let mut state = self.lock();
+        let number = attempt
+            .ok()
+            .and_then(|attempt| state.by_attempt.get(&attempt).copied());
+        let ended = number.and_then(|number| state.end(number));
+        drop(state);
+        respond(request, 200, "{}");
+        if let Some((running, slot_us)) = ended {
+            self.answer(running, slot_us, "aborted");
+        }
+    }
+
+    fn run_clock(&self) {
+        loop {
+            let mut state = self.lock();
+            if state.closed {
+                return;
+            }
+            let now = Instant::now();
+            let next = state.due.peek().map(|Reverse((at, number))| (*at, *number));
+            match next {
+                Some((at, number)) if at <= now => {
+                    state.due.pop();
+                    let ended = state.end(number);
+                    drop(state);
+                    if let Some((running, slot_us)) = ended {
+                        let status = if running.failed { "failed" } else { "done" };
+                        self.answer(running, slot_us, status);
+                    }
+                }
+                Some((at, _)) => drop(self.changed.wait_timeout(state, at - now)),
+                None => drop(self.changed.wait(state)),
+            }
+        }
+    }
+
+    fn answer(&self, running: Running, slot_us: u64, status: &str) {
+        let Some(request) = running.request else {
+            return;
+        };
+        let echo = running
+            .body
+            .payload
+            .get("echo")
+            .cloned()
+            .unwrap_or_default();
+        let body = serde_json::json!({
+            "status": status,
+            "job": running.body.job,
+            "index": running.body.index,
+            "attempt": running.body.attempt,
+            "slot_us": slot_us,
+            "leaving": self.lock().faults.leaving,
+            "result": {"echo": echo},
+        });
+        respond(request, 200, &body.to_string());
+    }
+}
+
+impl State {
+    fn end(&mut self, number: u64) -> Option<(Running, u64)> {
+        let running = self.running.remove(&number)?;
+        self.by_attempt.remove(&running.body.attempt);
+        self.used -= running.body.slots;
+        let elapsed = running.started.elapsed().as_micros();
+        let slot_us = u64::try_from(elapsed).unwrap_or(u64::MAX) * u64::from(running.body.slots);
+        *self
+            .counts
+            .slot_us
+            .entry(running.body.customer.clone())
+            .or_insert(0) += slot_us;
+        Some((running, slot_us))
+    }
+}
--- /dev/null
+++ b/crates/test/src/platform.rs
@@ -0,0 +1,360 @@
+//! The platform's key-value service and VM list.
+//!
+//! | request | meaning |
+//! |---|---|
+//! | `GET /kv/KEY` | value and version, or 404 |
+//! | `GET /kv/KEY?newer_than=V&wait_ms=W` | a watch: answers once the version exceeds `V` |
+//! | `GET /kv?prefix=P` | all values below a prefix |
+//! | `PUT /kv/KEY` | writes; `?expect=V` only if the version is `V` (0: absent); `?ttl_ms=T` |
+//! | `POST /leases?ttl_ms=T`, `PUT /leases/ID` | grants and renews a lease |
+//! | `GET /vms`, `PUT /vms` | the VM list; the latter is for whoever runs the stand-in |
+//! | `PUT /faults` | sets the fault switches |
+//! | `GET /calls` | number of calls so far |
+
+use crate::http::{HttpThread, path, query, read_body, respond};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tiny_http::{Method, Request};
+
+/// Longest value, in bytes.
+const MAX_VALUE: usize = 1024 * 1024;
+/// Longest wait of a watch, in milliseconds.
+const MAX_WATCH_MS: u64 = 60_000;
+
+/// Fault switches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Every call fails, without effect.
+    pub down: bool,
+    /// Every call takes this much longer, in milliseconds.
+    pub delay_ms: u64,
+    /// This many of the next writes take effect and answer as if they had failed.
+    pub lose_replies: u32,
+    /// The VM list is served as it was when this was set.
+    pub freeze_vm_list: bool,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Value {
+    value: serde_json::Value,
+    version: u64,
+    #[serde(skip)]
+    expires: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    values: BTreeMap<String, Value>,
+    vm_list: serde_json::Value,
+    served_vm_list: serde_json::Value,
+    faults: PlatformFaults,
+    calls: u64,
+    leases: BTreeMap<u64, Instant>,
+    next_lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The stand-in, running on threads of this process.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    shared: Arc<Shared>,
+    http: HttpThread,
+}
+
+impl PlatformStandIn {
+    /// Starts the stand-in on `listen`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn start(listen: &str) -> eyre::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        shared
+            .lock()
+            .set_vm_list(serde_json::json!({"revision": 0, "entries": [], "executors": []}));
+        let handler = Arc::clone(&shared);
+        let http = HttpThread::start(listen, move |request| {
+            let shared = Arc::clone(&handler);
+            std::thread::spawn(move || shared.serve(request));
+        })?;
+        Ok(Self { shared, http })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vm_list(&self, list: serde_json::Value) {
+        self.shared.lock().set_vm_list(list);
+    }
+
+    /// Sets the fault switches.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// Returns the number of calls so far; a waiting watch counts as one.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+
+    /// Returns the value under `key`.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<serde_json::Value> {
+        self.shared
+            .lock()
+            .values
+            .get(key)
+            .map(|row| row.value.clone())
+    }
+
+    /// Returns the values below `prefix`.
+    #[must_use]
+    pub fn values(&self, prefix: &str) -> Vec<serde_json::Value> {
+        let state = self.shared.lock();
+        let rows = state
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        rows.map(|(_, row)| row.value.clone()).collect()
+    }
+
+    /// Stops the stand-in.
+    pub fn close(self) {
+        self.http.close();
+    }
+
+    /// Serves until the process ends.
+    pub fn wait(self) {
+        self.http.wait();
+    }
+}
+
+impl State {
+    fn set_vm_list(&mut self, list: serde_json::Value) {
+        self.vm_list = list;
+        if !self.faults.freeze_vm_list {
+            self.served_vm_list = self.vm_list.clone();
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        self.values
+            .retain(|_, row| row.expires.is_none_or(|at| at > now));
+        self.leases.retain(|_, at| *at > now);
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.values.get(key).map_or(0, |row| row.version)
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, request: Request) {
+        let url = request.url().to_owned();
+        if path(&url) == "/faults" {
+            self.set_faults(request);
+            return;
+        }
+        let faults = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.expire();
+            state.faults
+        };
+        std::thread::sleep(Duration::from_millis(faults.delay_ms));
+        if faults.down {
+            respond(request, 503, r#"{"error":"unavailable"}"#);
+            return;
+        }
+        match (request.method(), path(&url)) {
+            (Method::Get, "/vms") => self.get_vms(request),
+            (Method::Put, "/vms") => self.put_vms(request),
+            (Method::Get, "/calls") => {
+                let calls = self.lock().calls;
+                respond(request, 200, &format!(r#"{{"calls":{calls}}}"#));
+            }
+            (Method::Get, "/kv") => self.list(request, &url),
+            (Method::Get, key) if key.starts_with("/kv/") => self.get(request, &url),
+            (Method::Put, key) if key.starts_with("/kv/") => self.put(request, &url),
+            (Method::Post, "/leases") => self.grant_lease(request, &url),
+            (Method::Put, key) if key.starts_with("/leases/") => self.renew_lease(request, &url),
+            _ => respond(request, 404, r#"{"error":"no such resource"}"#),
+        }
+    }
+
+    fn set_faults(&self, mut request: Request) {
+        let body = read_body(&mut request).unwrap_or_default();
+        match serde_json::from_str(&body) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                respond(request, 200, "{}");
+            }
+            Err(e) => respond(
+                request,
+                400,
+                &serde_json::json!({"error": e.to_string()}).to_string(),
+            ),
+        }
+    }
+
+    fn get_vms(&self, request: Request) {
+        let list = self.lock().served_vm_list.to_string();
+        respond(request, 200, &list);
+    }
+
+    fn put_vms(&self, mut request: Request) {
+        let body = read_body(&mut request).unwrap_or_default();
+        match serde_json::from_str(&body) {
+            Ok(list) => {
+                self.lock().set_vm_list(list);
+                respond(request, 200, "{}");
+            }
+            Err(e) => respond(
+                request,
+                400,
+                &serde_json::json!({"error": e.to_string()}).to_string(),
+            ),
+        }
+    }
+
+    fn list(&self, request: Request, url: &str) {
+        let prefix = query(url, "prefix").unwrap_or_default();
+        let rows: BTreeMap<String, Value> = {
+            let state = self.lock();
+            let rows = state
+                .values
+                .iter()
+                .filter(|(key, _)| key.starts_with(prefix));
+            rows.map(|(key, row)| (key.clone(), row.clone())).collect()
+        };
+        respond(
+            request,
+            200,
+            &serde_json::to_string(&rows).expect("plain values"),
+        );
+    }
+
+    fn get(&self, request: Request, url: &str) {
+        let key = path(url).trim_start_matches("/kv/").to_owned();
+        if let Some(known) = query(url, "newer_than").and_then(|text| text.parse().ok()) {
+            let wait = query(url, "wait_ms")
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0);
+            self.watch(&key, known, Duration::from_millis(wait.min(MAX_WATCH_MS)));
+        }
+        if self.lock().faults.down {
+            respond(request, 503, r#"{"error":"unavailable"}"#);
+            return;
+        }
+        let row = self.lock().values.get(&key).cloned();
+        match row {
+            Some(row) => respond(
+                request,
+                200,
+                &serde_json::to_string(&row).expect("plain value"),
+            ),
+            None => respond(request, 404, r#"{"error":"no such key"}"#),
+        }
+    }
+
+    fn watch(&self, key: &str, known: u64, wait: Duration) {
+        let state = self.lock();
+        let unchanged = |state: &mut State| state.version(key) <= known && !state.faults.down;
+        drop(self.changed.wait_timeout_while(state, wait, unchanged));
+    }
+
+    fn put(&self, mut request: Request, url: &str) {
+        let Ok(body) = read_body(&mut request) else {
+            respond(request, 400, r#"{"error":"unreadable body"}"#);
+            return;
+        };
+        let value = match serde_json::from_str(&body) {
+            Ok(value) if body.len() <= MAX_VALUE => value,
+            Ok(_) => return respond(request, 413, r#"{"error":"value too large"}"#),
+            Err(_) => return respond(request, 400, r#"{"error":"not JSON"}"#),
+        };
+        let key = path(url).trim_start_matches("/kv/");
+        let expect: Option<u64> = query(url, "expect").and_then(|text| text.parse().ok());
+        let ttl: Option<u64> = query(url, "ttl_ms").and_then(|text| text.parse().ok());
+        let mut state = self.lock();
+        let version = state.version(key);
+        if expect.is_some_and(|expected| expected != version) {
+            drop(state);
+            respond(request, 409, &format!(r#"{{"version":{version}}}"#));
+            return;
+        }
+        let expires = ttl.map(|ttl| Instant::now() + Duration::from_millis(ttl));
+        let version = version + 1;
+        state.values.insert(
+            key.to_owned(),
+            Value {
+                value,
+                version,
+                expires,
+            },
+        );
+        let lose = state.faults.lose_replies > 0;
+        state.faults.lose_replies = state.faults.lose_replies.saturating_sub(1);
+        drop(state);
+        self.changed.notify_all();
+        if lose {
+            respond(request, 504, r#"{"error":"timeout"}"#);
+        } else {
+            respond(request, 200, &format!(r#"{{"version":{version}}}"#));
+        }
+    }
+
+    fn grant_lease(&self, request: Request, url: &str) {
+        let ttl = query(url, "ttl_ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let mut state = self.lock();
+        state.next_lease += 1;
+        let id = state.next_lease;
+        state
+            .leases
+            .insert(id, Instant::now() + Duration::from_millis(ttl));
+        drop(state);
+        respond(request, 200, &format!(r#"{{"lease":{id}}}"#));
+    }
+
+    fn renew_lease(&self, request: Request, url: &str) {
+        let id = path(url)
+            .trim_start_matches("/leases/")
+            .parse()
+            .unwrap_or(0);
+        let ttl = query(url, "ttl_ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let renewed = {
+            let mut state = self.lock();
+            let row = state.leases.get_mut(&id);
+            row.map(|at| *at = Instant::now() + Duration::from_millis(ttl))
+                .is_some()
+        };
+        if renewed {
+            respond(request, 200, "{}");
+        } else {
+            respond(request, 410, r#"{"error":"the lease lapsed"}"#);
+        }
+    }
+}
--- /dev/null
+++ b/src/callers/mod.rs
@@ -0,0 +1,13 @@
+//! Callers, over HTTP with JSON.
+
+mod auth;
+mod body;
+mod problem;
+mod responder;
+mod server;
+
+pub use auth::{AuthTable, Principal};
+pub use body::{JobBody, MAX_KEY_LEN};
+pub use problem::Problem;
+pub use responder::Responder;
+pub use server::{HttpServer, ServerConfig};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,44 @@
+//! A dispatcher for sub-second tasks.
+//!
+//! Each entry VM runs one [`Daemon`]. Callers submit jobs of many short tasks to any of them; the
+//! daemon that issued a job's id starts its tasks on executors and owns the answer.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use cardamomslip::{Daemon, Settings};
+//!
+//! # fn main() -> Result<(), cardamomslip::Error> {
+//! let settings = Settings::load("entry-1.yaml".as_ref())?;
+//! Daemon::start(settings)?.wait();
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! # Guarantees
+//!
+//! Those of [`cardamomslip_core`], whose [`Node`](cardamomslip_core::Node) takes every decision.
+//! This crate adds the actors and the adapters: callers and operators over HTTP, executors and the
+//! platform over HTTP, peers over WebSocket with CBOR.
+//!
+//! # Limits
+//!
+//! * Each start in flight occupies a thread while it waits for its executor.
+//! * Connections are not encrypted; the VMs' network is trusted, and peers show a shared secret.
+
+pub mod callers;
+pub mod config_wire;
+pub mod daemon;
+pub mod error;
+pub mod executors;
+pub mod input;
+pub mod names;
+mod node_actor;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod settings;
+
+pub use daemon::{Daemon, StopHandle};
+pub use error::{Error, ErrorKind};
+pub use settings::Settings;
--- /dev/null
+++ b/src/peers/link.rs
@@ -0,0 +1,167 @@
+//! One connection to a peer.
+
+use super::hello::{self, Hello};
+use super::hub::{HubEvent, HubSender};
+use super::wire::decode;
+use cardamomslip_core::model::incarnation::Incarnation;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message as Frame;
+use tokio_tungstenite::tungstenite::client::IntoClientRequest;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config, client_async_with_config};
+
+/// Largest frame, in bytes.
+const MAX_FRAME: usize = 16 * 1024 * 1024;
+/// Time for the whole handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for writing one frame.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Frames that wait to be written; a peer that is further behind is disconnected.
+const MAX_QUEUE: usize = 10_000;
+
+/// What a connection needs to know of this process.
+#[derive(Clone, Debug)]
+pub struct LinkConfig {
+    /// This incarnation.
+    pub me: Incarnation,
+    /// The shared secret.
+    pub secret: crate::settings::Secret,
+    /// Silence after which the connection counts as dead.
+    pub silence: Duration,
+}
+
+/// Why a connection could not be made. The causes go to the log only.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// The connection was refused or broke.
+    #[error("{0}")]
+    Socket(#[from] std::io::Error),
+    /// The other side refused the handshake or is no peer.
+    #[error("{0}")]
+    Handshake(#[from] Box<tokio_tungstenite::tungstenite::Error>),
+    /// The first frame was no hello.
+    #[error("{0}")]
+    Hello(#[from] super::wire::WireError),
+    /// The handshake took too long, or the connection ended in it.
+    #[error("no handshake in time")]
+    Silent,
+    /// The process at the address is this one.
+    #[error("the peer is this process")]
+    Myself,
+}
+
+type Socket = WebSocketStream<TcpStream>;
+
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME))
+        .max_frame_size(Some(MAX_FRAME))
+}
+
+/// Connects to `address` and runs the connection until it ends.
+///
+/// # Errors
+///
+/// Returns an error if the handshake fails.
+pub async fn dial(config: LinkConfig, address: SocketAddr, tx: HubSender) -> Result<(), LinkError> {
+    let connect = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let url = format!("ws://{address}/");
+        let mut req = url.into_client_request().map_err(Box::new)?;
+        hello::sign(&mut req, config.secret.reveal());
+        let client = client_async_with_config(req, stream, Some(socket_config()));
+        let (socket, _) = client.await.map_err(Box::new)?;
+        greet(socket, config.me).await
+    };
+    let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, connect)
+        .await
+        .unwrap_or(Err(LinkError::Silent))?;
+    run(socket, peer, &config, tx).await;
+    Ok(())
+}
+
+/// Accepts a connection and runs it until it ends.
+///
+/// # Errors
+///
+/// Returns an error if the handshake fails.
+pub async fn accept(config: LinkConfig, stream: TcpStream, tx: HubSender) -> Result<(), LinkError> {
+    let secret = config.secret.clone();
+    let connect = async {
+        stream.set_nodelay(true)?;
+        #[allow(clippy::result_large_err, reason = "the type is the library's")]
+        let check = move |req: &_, response| hello::check(req, response, secret.reveal());
+        let server = accept_hdr_async_with_config(stream, check, Some(socket_config()));
+        let socket = server.await.map_err(Box::new)?;
+        greet(socket, config.me).await
+    };
+    let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, connect)
+        .await
+        .unwrap_or(Err(LinkError::Silent))?;
+    run(socket, peer, &config, tx).await;
+    Ok(())
+}
+
+async fn greet(mut socket: Socket, me: Incarnation) -> Result<(Socket, Incarnation), LinkError> {
+    socket
+        .send(Frame::Binary(Hello::encode(me).into()))
+        .await
+        .map_err(Box::new)?;
+    let frame = socket
+        .next()
+        .await
+        .ok_or(LinkError::Silent)?
+        .map_err(Box::new)?;
+    let peer = Hello::decode(&frame.into_data())?;
+    if peer == me {
+        return Err(LinkError::Myself);
+    }
+    Ok((socket, peer))
+}
+
+/// Carries messages until the connection breaks, falls silent or is replaced.
+async fn run(socket: Socket, peer: Incarnation, config: &LinkConfig, tx: HubSender) {
+    let (frames_tx, mut frames_rx) = mpsc::channel::<Vec<u8>>(MAX_QUEUE);
+    let number = tx.next_link();
+    tx.send(HubEvent::Up {
+        peer,
+        number,
+        frames: frames_tx,
+    });
+    let (mut sink, mut stream) = socket.split();
+    let write = async {
+        while let Some(frame) = frames_rx.recv().await {
+            let sent = timeout(WRITE_TIMEOUT, sink.send(Frame::Binary(frame.into()))).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+        }
+        // The hub dropped its end: all frames are written, so the connection can be closed.
+        drop(timeout(WRITE_TIMEOUT, sink.close()).await);
+    };
+    let read = async {
+        while let Ok(Some(Ok(frame))) = timeout(config.silence, stream.next()).await {
+            if !frame.is_binary() {
+                continue;
+            }
+            match decode(&frame.into_data()) {
+                Ok(message) => tx.message(peer, number, message),
+                Err(e) => {
+                    tracing::error!(%peer, error = %e, "invalid frame; closing the connection");
+                    return;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+    }
+    tx.send(HubEvent::Down { peer, number });
+}
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,12 @@
+//! Peers: other entry VMs, over WebSocket with CBOR.
+//!
+//! One connection joins two processes. The opening request shows the shared secret and names the
+//! protocol version; the first frame of each side names its incarnation. Frames are bounded.
+
+mod hello;
+mod hub;
+mod link;
+mod wire;
+
+pub use hub::{PeerConfig, PeerHub};
+pub use wire::{WireError, decode, encode};
