Serve HTTP with hyper instead of tiny_http

Cause: in the demo, starts of whole jobs hung until the attempt timeout (20 s) and two jobs of 30 tasks ended as outcome_lost. tiny_http 0.12 hands each new connection to its thread pool and starts a thread only if no thread is waiting; the count of waiting threads falls only when a woken thread gets its lock back. So a burst of connections is queued behind one waiting thread, and the rest are not read until another connection closes, which keep-alive clients never do.

Ruled out: the condition variable of the executor stand-in (lock held between look and wait), ureq's pool (no stale connection was used), the core (its attempt timer ended what the adapter still waited for).

Conclusion: tiny_http does not fit servers that many clients reach at once. hyper is its nearest kin among well-kept libraries; ureq stays.

--- a/crates/test/src/executor.rs
+++ b/crates/test/src/executor.rs
@@ -9,14 +9,14 @@
 //!
 //! A task's payload may hold `run_ms`, its run time at speed 1, and `echo`, which is returned.
 
-use crate::http::{HttpThread, path, read_body, respond};
+use crate::http::{StandInServer, respond};
+use cardamomslip::http::Exchange;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tiny_http::{Method, Request};
 
 /// How an executor is set up.
 #[derive(Clone, Debug)]
@@ -76,7 +76,7 @@
 }
 
 struct Running {
-    request: Option<Request>,
+    request: Option<Exchange>,
     body: StartBody,
     started: Instant,
     failed: bool,
@@ -113,7 +113,7 @@
 #[derive(Debug)]
 pub struct ExecutorStandIn {
     shared: Arc<Shared>,
-    http: HttpThread,
+    http: StandInServer,
     clock: std::thread::JoinHandle<()>,
 }
 
@@ -132,7 +132,7 @@
             changed: Condvar::new(),
         });
         let handler = Arc::clone(&shared);
-        let http = HttpThread::start(&listen, move |request| handler.serve(request))?;
+        let http = StandInServer::start(&listen, move |request| handler.serve(request))?;
         let ticker = Arc::clone(&shared);
         let clock = std::thread::spawn(move || ticker.run_clock());
         Ok(Self {
@@ -198,11 +198,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, mut request: Request) {
-        let url = request.url().to_owned();
-        let body = read_body(&mut request).unwrap_or_default();
-        match (request.method(), path(&url)) {
-            (Method::Post, "/v1/start") => match serde_json::from_str(&body) {
+    fn serve(&self, request: Exchange) {
+        let body = request.body().unwrap_or_default().to_owned();
+        match (request.method().as_str(), request.path()) {
+            ("POST", "/v1/start") => match serde_json::from_str(&body) {
                 Ok(start) => self.start(request, start),
                 Err(_) => respond(
                     request,
@@ -210,12 +209,12 @@
                     r#"{"status":"not_started","reason":"invalid"}"#,
                 ),
             },
-            (Method::Post, "/v1/abort") => self.abort(request, &body),
-            (Method::Get, "/v1/counts") => {
+            ("POST", "/v1/abort") => self.abort(request, &body),
+            ("GET", "/v1/counts") => {
                 let counts = serde_json::to_string(&self.lock().counts).expect("plain counts");
                 respond(request, 200, &counts);
             }
-            (Method::Put, "/v1/faults") => match serde_json::from_str(&body) {
+            ("PUT", "/v1/faults") => match serde_json::from_str(&body) {
                 Ok(faults) => {
                     self.lock().faults = faults;
                     respond(request, 200, "{}");
@@ -226,7 +225,7 @@
         }
     }
 
-    fn start(&self, request: Request, body: StartBody) {
+    fn start(&self, request: Exchange, body: StartBody) {
         let mut state = self.lock();
         let reason = if state.faults.leaving {
             Some("leaving")
@@ -280,7 +279,7 @@
         self.changed.notify_all();
     }
 
-    fn abort(&self, request: Request, body: &str) {
+    fn abort(&self, request: Exchange, body: &str) {
         let attempt = serde_json::from_str::<AbortBody>(body).map(|body| body.attempt);
         let mut state = self.lock();
         let number = attempt
--- a/crates/test/src/platform.rs
+++ b/crates/test/src/platform.rs
@@ -11,13 +11,13 @@
 //! | `PUT /faults` | sets the fault switches |
 //! | `GET /calls` | number of calls so far |
 
-use crate::http::{HttpThread, path, query, read_body, respond};
+use crate::http::{StandInServer, respond};
+use cardamomslip::http::Exchange;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tiny_http::{Method, Request};
 
 /// Longest value, in bytes.
 const MAX_VALUE: usize = 1024 * 1024;
@@ -67,7 +67,7 @@
 #[derive(Debug)]
 pub struct PlatformStandIn {
     shared: Arc<Shared>,
-    http: HttpThread,
+    http: StandInServer,
 }
 
 impl PlatformStandIn {
@@ -82,9 +82,9 @@
             .lock()
             .set_vm_list(serde_json::json!({"revision": 0, "entries": [], "executors": []}));
         let handler = Arc::clone(&shared);
-        let http = HttpThread::start(listen, move |request| {
+        let http = StandInServer::start(listen, move |request| {
             let shared = Arc::clone(&handler);
-            std::thread::spawn(move || shared.serve(request));
+            tokio::task::spawn_blocking(move || shared.serve(request));
         })?;
         Ok(Self { shared, http })
     }
@@ -168,9 +168,9 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, request: Request) {
-        let url = request.url().to_owned();
-        if path(&url) == "/faults" {
+    fn serve(&self, request: Exchange) {
+        let path = request.path().to_owned();
+        if path == "/faults" {
             self.set_faults(request);
             return;
         }
@@ -185,25 +185,25 @@
             respond(request, 503, r#"{"error":"unavailable"}"#);
             return;
         }
-        match (request.method(), path(&url)) {
-            (Method::Get, "/vms") => self.get_vms(request),
-            (Method::Put, "/vms") => self.put_vms(request),
-            (Method::Get, "/calls") => {
+        match (request.method().as_str(), path.as_str()) {
+            ("GET", "/vms") => self.get_vms(request),
+            ("PUT", "/vms") => self.put_vms(request),
+            ("GET", "/calls") => {
                 let calls = self.lock().calls;
                 respond(request, 200, &format!(r#"{{"calls":{calls}}}"#));
             }
-            (Method::Get, "/kv") => self.list(request, &url),
-            (Method::Get, key) if key.starts_with("/kv/") => self.get(request, &url),
-            (Method::Put, key) if key.starts_with("/kv/") => self.put(request, &url),
-            (Method::Post, "/leases") => self.grant_lease(request, &url),
-            (Method::Put, key) if key.starts_with("/leases/") => self.renew_lease(request, &url),
+            ("GET", "/kv") => self.list(request),
+            ("GET", key) if key.starts_with("/kv/") => self.get(request),
+            ("PUT", key) if key.starts_with("/kv/") => self.put(request),
+            ("POST", "/leases") => self.grant_lease(request),
+            ("PUT", key) if key.starts_with("/leases/") => self.renew_lease(request),
             _ => respond(request, 404, r#"{"error":"no such resource"}"#),
         }
     }
 
-    fn set_faults(&self, mut request: Request) {
-        let body = read_body(&mut request).unwrap_or_default();
-        match serde_json::from_str(&body) {
+    fn set_faults(&self, request: Exchange) {
+        let body = request.body().unwrap_or_default();
+        match serde_json::from_str(body) {
             Ok(faults) => {
                 self.lock().faults = faults;
                 respond(request, 200, "{}");
@@ -216,14 +216,14 @@
         }
     }
 
-    fn get_vms(&self, request: Request) {
+    fn get_vms(&self, request: Exchange) {
         let list = self.lock().served_vm_list.to_string();
         respond(request, 200, &list);
     }
 
-    fn put_vms(&self, mut request: Request) {
-        let body = read_body(&mut request).unwrap_or_default();
-        match serde_json::from_str(&body) {
+    fn put_vms(&self, request: Exchange) {
+        let body = request.body().unwrap_or_default();
+        match serde_json::from_str(body) {
             Ok(list) => {
                 self.lock().set_vm_list(list);
                 respond(request, 200, "{}");
@@ -236,8 +236,8 @@
         }
     }
 
-    fn list(&self, request: Request, url: &str) {
-        let prefix = query(url, "prefix").unwrap_or_default();
+    fn list(&self, request: Exchange) {
+        let prefix = request.query("prefix").unwrap_or_default();
         let rows: BTreeMap<String, Value> = {
             let state = self.lock();
             let rows = state
@@ -253,10 +253,14 @@
         );
     }
 
-    fn get(&self, request: Request, url: &str) {
-        let key = path(url).trim_start_matches("/kv/").to_owned();
-        if let Some(known) = query(url, "newer_than").and_then(|text| text.parse().ok()) {
-            let wait = query(url, "wait_ms")
+    fn get(&self, request: Exchange) {
+        let key = request.path().trim_start_matches("/kv/").to_owned();
+        if let Some(known) = request
+            .query("newer_than")
+            .and_then(|text| text.parse().ok())
+        {
+            let wait = request
+                .query("wait_ms")
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0);
             self.watch(&key, known, Duration::from_millis(wait.min(MAX_WATCH_MS)));
@@ -282,19 +286,20 @@
         drop(self.changed.wait_timeout_while(state, wait, unchanged));
     }
 
-    fn put(&self, mut request: Request, url: &str) {
-        let Ok(body) = read_body(&mut request) else {
+    fn put(&self, request: Exchange) {
+        let Ok(body) = request.body() else {
             respond(request, 400, r#"{"error":"unreadable body"}"#);
             return;
         };
-        let value = match serde_json::from_str(&body) {
+        let value = match serde_json::from_str(body) {
             Ok(value) if body.len() <= MAX_VALUE => value,
             Ok(_) => return respond(request, 413, r#"{"error":"value too large"}"#),
             Err(_) => return respond(request, 400, r#"{"error":"not JSON"}"#),
         };
-        let key = path(url).trim_start_matches("/kv/");
-        let expect: Option<u64> = query(url, "expect").and_then(|text| text.parse().ok());
-        let ttl: Option<u64> = query(url, "ttl_ms").and_then(|text| text.parse().ok());
+        let key = request.path().trim_start_matches("/kv/").to_owned();
+        let key = key.as_str();
+        let expect: Option<u64> = request.query("expect").and_then(|text| text.parse().ok());
+        let ttl: Option<u64> = request.query("ttl_ms").and_then(|text| text.parse().ok());
         let mut state = self.lock();
         let version = state.version(key);
         if expect.is_some_and(|expected| expected != version) {
@@ -323,8 +328,9 @@
         }
     }
 
-    fn grant_lease(&self, request: Request, url: &str) {
-        let ttl = query(url, "ttl_ms")
+    fn grant_lease(&self, request: Exchange) {
+        let ttl = request
+            .query("ttl_ms")
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
         let mut state = self.lock();
@@ -337,12 +343,14 @@
         respond(request, 200, &format!(r#"{{"lease":{id}}}"#));
     }
 
-    fn renew_lease(&self, request: Request, url: &str) {
-        let id = path(url)
+    fn renew_lease(&self, request: Exchange) {
+        let id = request
+            .path()
             .trim_start_matches("/leases/")
             .parse()
             .unwrap_or(0);
-        let ttl = query(url, "ttl_ms")
+        let ttl = request
+            .query("ttl_ms")
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
         let renewed = {
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -100,7 +100,9 @@
     let submissions = spawn_submissions(cluster);
     change_preset(cluster)?;
     for submission in submissions {
-        let joined = submission.join().map_err(|_| eyre!("a caller panicked"))?;
+        let joined: Result<_> = submission
+            .join()
+            .unwrap_or_else(|_| Err(eyre!("a caller panicked")));
         let (label, size, [first, second]) = joined?;
         note(seen, &first, &label, size);
         if first.body != second.body {
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -4,10 +4,10 @@
 mod body;
 mod problem;
 mod responder;
-mod server;
+mod service;
 
 pub use auth::{AuthTable, Principal};
 pub use body::{JobBody, MAX_KEY_LEN};
 pub use problem::Problem;
 pub use responder::Responder;
-pub use server::{HttpServer, ServerConfig};
+pub use service::CallerService;
--- a/src/callers/problem.rs
+++ b/src/callers/problem.rs
@@ -1,10 +1,13 @@
 //! Refusals as RFC 9457 problem details.
 
 use super::body::{ran_name, reason_name};
+use crate::http::Reply;
 use cardamomslip_core::model::outcome::{FailureReason, Ran, Refusal, RefusalReason};
 use serde::Serialize;
 use std::time::Duration;
 
+/// Media type of refusals.
+const PROBLEM_JSON: &str = "application/problem+json";
 /// Time after which a caller that met a load limit may try again.
 const RETRY_LOAD: Duration = Duration::from_secs(1);
 
@@ -97,3 +100,14 @@
             .with_retry_after(refusal.retry_after)
     }
 }
+
+impl From<&Problem> for Reply {
+    fn from(problem: &Problem) -> Self {
+        Self {
+            status: problem.status,
+            media_type: PROBLEM_JSON,
+            retry_after: problem.retry_after,
+            body: serde_json::to_string(problem).unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/callers/service.rs
@@ -0,0 +1,241 @@
+//! The resources for callers, and who may reach which resource.
+
+use super::auth::{AuthTable, Principal};
+use super::body::{BodyError, IdsBody, JobBody, MAX_KEY_LEN, OnceBody};
+use super::problem::Problem;
+use super::responder::Responder;
+use crate::http::{Exchange, Reply};
+use crate::input::{Input, InputSender};
+use crate::operators::OperatorApi;
+use crate::settings::Limits;
+use cardamomslip_core::model::ids::CustomerId;
+use cardamomslip_core::model::job_id::JobId;
+use cardamomslip_core::model::request::{JobRequest, JobVerb, Request};
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::runtime::Handle;
+
+/// Prefix of the operators' resources.
+const OPERATOR_PREFIX: &str = "/v1/operator/";
+/// Prefix of a job's resource.
+const JOB_PREFIX: &str = "/v1/jobs/";
+/// Time after which a caller that met the limit on waiting callers may try again.
+const RETRY_WAITING: Duration = Duration::from_secs(1);
+
+/// The resources for callers, operators and the balancer. Clones share everything.
+#[derive(Clone, Debug)]
+pub struct CallerService {
+    limits: Limits,
+    auth: AuthTable,
+    tx: InputSender,
+    operators: OperatorApi,
+    runtime: Handle,
+    ready: Arc<AtomicBool>,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl CallerService {
+    /// Builds the resources. `ready` tells the balancer whether the node admits work.
+    #[must_use]
+    pub fn new(
+        limits: Limits,
+        auth: AuthTable,
+        tx: InputSender,
+        operators: OperatorApi,
+        runtime: Handle,
+        ready: Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            limits,
+            auth,
+            tx,
+            operators,
+            runtime,
+            ready,
+            waiting: Arc::default(),
+        }
+    }
+
+    /// Serves a request. Does not block; what would is passed to a thread.
+    pub fn serve(&self, exchange: Exchange) {
+        match exchange.path() {
+            "/healthz" => exchange.close_with(Reply::text(200, "ok\n".to_owned())),
+            "/readyz" => self.serve_ready(exchange),
+            "/metrics" => {
+                let operators = self.operators.clone();
+                let render = move || exchange.close_with(Reply::text(200, operators.metrics()));
+                self.runtime.spawn_blocking(render);
+            }
+            _ => self.serve_principal(exchange),
+        }
+    }
+
+    fn serve_ready(&self, exchange: Exchange) {
+        let reply = if self.ready.load(Ordering::Relaxed) {
+            Reply::text(200, "ready\n".to_owned())
+        } else {
+            Reply::text(503, "not ready\n".to_owned())
+        };
+        exchange.close_with(reply);
+    }
+
+    fn serve_principal(&self, exchange: Exchange) {
+        let principal = self.auth.authenticate(exchange.header("authorization"));
+        let over_limit = self.waiting.load(Ordering::Relaxed) >= self.limits.waiting_callers;
+        let responder = Responder::new(exchange, Arc::clone(&self.waiting));
+        if let Err(reply) = responder.exchange().body() {
+            let problem = body_problem(reply);
+            responder.close_problem(&problem);
+            return;
+        }
+        match principal {
+            None => responder.close_problem(&Problem::new(401, "unauthorized", None)),
+            Some(Principal::Operator(name)) => self.serve_operator(responder, name),
+            Some(Principal::Customer(_)) if over_limit => {
+                let problem = Problem::new(429, "too_many_waiting", None);
+                responder.close_problem(&problem.with_retry_after(Some(RETRY_WAITING)));
+            }
+            Some(Principal::Customer(customer)) => {
+                match self.parse(customer, responder.exchange()) {
+                    Ok(req) => self.tx.send(Input::Call(responder, req)),
+                    Err(problem) => responder.close_problem(&problem),
+                }
+            }
+        }
+    }
+
+    fn serve_operator(&self, responder: Responder, name: Arc<str>) {
+        if !responder.exchange().path().starts_with(OPERATOR_PREFIX) {
+            responder.close_problem(&Problem::new(403, "not_for_operators", None));
+            return;
+        }
+        let operators = self.operators.clone();
+        self.runtime
+            .spawn_blocking(move || operators.serve(responder, OPERATOR_PREFIX, &name));
+    }
+
+    fn parse(&self, customer: CustomerId, exchange: &Exchange) -> Result<Request, Problem> {
+        match (exchange.method(), exchange.path()) {
+            (&Method::POST, "/v1/jobs") => self.parse_post(customer, exchange),
+            (&Method::POST, "/v1/requests") => {
+                let body: OnceBody = parse_body(exchange)?;
+                self.once(customer, exchange, JobBody::from(body))
+            }
+            (method, path) => match path.strip_prefix(JOB_PREFIX) {
+                Some(id) => self.parse_job(customer, exchange, method, id),
+                None => Err(Problem::new(404, "no_such_resource", None)),
+            },
+        }
+    }
+
+    fn parse_post(&self, customer: CustomerId, exchange: &Exchange) -> Result<Request, Problem> {
+        let Some(key) = exchange.header("idempotency-key") else {
+            let body: IdsBody = parse_body(exchange)?;
+            return Ok(Request::TakeIds {
+                customer,
+                count: body.count,
+            });
+        };
+        if key.is_empty() || key.len() > MAX_KEY_LEN {
+            let detail = format!("Idempotency-Key: must have 1 to {MAX_KEY_LEN} bytes");
+            return Err(Problem::new(400, "invalid_key", detail));
+        }
+        let body: JobBody = parse_body(exchange)?;
+        let spec = body.into_spec(self.limits.tasks_per_job).map_err(invalid)?;
+        Ok(Request::Keyed {
+            customer,
+            key: key.into(),
+            spec,
+            wait: self.wait(exchange)?,
+        })
+    }
+
+    fn once(
+        &self,
+        customer: CustomerId,
+        exchange: &Exchange,
+        body: JobBody,
+    ) -> Result<Request, Problem> {
+        let spec = body.into_spec(1).map_err(invalid)?;
+        let wait = self.wait(exchange)?;
+        let wait = if wait.is_zero() {
+            self.longest_wait()
+        } else {
+            wait
+        };
+        Ok(Request::Once {
+            customer,
+            spec,
+            wait,
+        })
+    }
+
+    fn parse_job(
+        &self,
+        customer: CustomerId,
+        exchange: &Exchange,
+        method: &Method,
+        id: &str,
+    ) -> Result<Request, Problem> {
+        let id: JobId = id
+            .parse()
+            .map_err(|e| Problem::new(404, "no_such_job", format!("{e}")))?;
+        let verb = match *method {
+            Method::PUT => {
+                let body: JobBody = parse_body(exchange)?;
+                JobVerb::Submit(body.into_spec(self.limits.tasks_per_job).map_err(invalid)?)
+            }
+            Method::GET => JobVerb::Fetch,
+            Method::DELETE => JobVerb::Cancel,
+            _ => return Err(Problem::new(405, "method_not_allowed", None)),
+        };
+        Ok(Request::Job(JobRequest {
+            id,
+            customer,
+            wait: self.wait(exchange)?,
+            verb,
+        }))
+    }
+
+    fn longest_wait(&self) -> Duration {
+        Duration::from_millis(self.limits.wait_ms)
+    }
+
+    /// Reads `wait_ms` of the query, at most the configured limit.
+    fn wait(&self, exchange: &Exchange) -> Result<Duration, Problem> {
+        let Some(value) = exchange.query("wait_ms") else {
+            return Ok(Duration::ZERO);
+        };
+        let ms: u64 = value
+            .parse()
+            .map_err(|e| Problem::new(400, "invalid_query", format!("wait_ms: {e}")))?;
+        Ok(Duration::from_millis(ms).min(self.longest_wait()))
+    }
+}
+
+fn parse_body<T: DeserializeOwned>(exchange: &Exchange) -> Result<T, Problem> {
+    let body = exchange.body().map_err(body_problem)?;
+    let body = if body.trim().is_empty() { "{}" } else { body };
+    serde_json::from_str(body).map_err(|e| Problem::new(400, "invalid_body", e.to_string()))
+}
+
+/// Turns the server's plain refusal of a body into a problem.
+fn body_problem(reply: &Reply) -> Problem {
+    let kind = match reply.status {
+        413 => "body_too_large",
+        408 => "body_timeout",
+        _ => "unreadable_body",
+    };
+    Problem::new(reply.status, kind, reply.body.clone())
+}
+
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "used as a function of Result::map_err"
+)]
+fn invalid(e: BodyError) -> Problem {
+    Problem::new(422, "invalid_job", e.to_string())
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,8 +1,9 @@
 //! The entry daemon as a whole.
 
-use crate::callers::{AuthTable, HttpServer, ServerConfig};
+use crate::callers::{AuthTable, CallerService};
 use crate::error::{Error, ErrorKind};
 use crate::executors::HttpExecutors;
+use crate::http::{HttpConfig, HttpServer};
 use crate::input::{Input, InputSender};
 use crate::names::{data_centre_id, vm_id};
 use crate::node_actor::{NodeActor, Surroundings};
@@ -21,6 +22,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// Threads for connections of callers and peers.
+const WORKER_THREADS: usize = 2;
 /// Threads for blocking calls at most: starts in flight, requests being read or answered.
 const MAX_BLOCKING_THREADS: usize = 2_048;
 /// Stack of a thread for blocking calls, in bytes.
@@ -86,7 +89,7 @@
         let (tx, rx) = mpsc::channel();
         let tx = InputSender::new(tx);
         let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
+            .worker_threads(WORKER_THREADS)
             .max_blocking_threads(MAX_BLOCKING_THREADS)
             .thread_stack_size(BLOCKING_STACK)
             .enable_all()
@@ -188,15 +191,20 @@
         let auth = AuthTable::new(&settings.operators);
         let ready = Arc::new(AtomicBool::new(false));
         let peers = start_peers(settings, me, tx, runtime)?;
-        let server_config = ServerConfig {
-            limits: settings.limits,
-            auth: auth.clone(),
-            tx: tx.clone(),
-            operators: operators.clone(),
-            runtime: runtime.handle().clone(),
-            ready: Arc::clone(&ready),
+        let service = CallerService::new(
+            settings.limits,
+            auth.clone(),
+            tx.clone(),
+            operators.clone(),
+            runtime.handle().clone(),
+            Arc::clone(&ready),
+        );
+        let http = HttpConfig {
+            listen: settings.listen.callers,
+            body_bytes: settings.limits.body_bytes,
         };
-        let server = HttpServer::start(settings.listen.callers, server_config)?;
+        let serve = move |exchange| service.serve(exchange);
+        let server = HttpServer::start(http, runtime.handle(), serve)?;
         let stop = Arc::new(AtomicBool::new(false));
         let poll = Duration::from_millis(timing.vm_list_poll_ms);
         let watches = vec![
@@ -259,9 +267,9 @@
         }
     }
     stop.store(true, Ordering::Relaxed);
-    server.close();
     drop(actor);
     s.run(Instant::now(), false);
+    server.close();
     peers.close();
     runtime.shutdown_timeout(RUNTIME_TIMEOUT);
     // The watches end by themselves after their present call.
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,170 @@
+//! An HTTP server whose handler answers whenever it wants.
+
+use super::exchange::{Exchange, Reply};
+use crate::error::{Error, ErrorKind};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+/// Time within which a client has to send the head of a request, and idle time of a connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time within which a client has to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which open connections may finish when the server closes.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// How a server is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpConfig {
+    /// Address to listen on; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Longest body, in bytes. A longer one is refused before it is read.
+    pub body_bytes: usize,
+}
+
+/// An HTTP server.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    stopped: oneshot::Receiver<()>,
+    runtime: Handle,
+}
+
+impl HttpServer {
+    /// Binds the address and passes each request to `handle`, which must not block.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of kind [`ErrorKind::Listen`] if the socket can't be opened.
+    pub fn start(
+        config: HttpConfig,
+        runtime: &Handle,
+        handle: impl Fn(Exchange) + Clone + Send + Sync + 'static,
+    ) -> Result<Self, Error> {
+        let failed =
+            |e: std::io::Error| Error::new(ErrorKind::Listen, format!("{}: {e}", config.listen));
+        let listener = std::net::TcpListener::bind(config.listen).map_err(failed)?;
+        listener.set_nonblocking(true).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let guard = runtime.enter();
+        let listener = TcpListener::from_std(listener).map_err(failed)?;
+        drop(guard);
+        let (stop, stop_rx) = oneshot::channel();
+        let (stopped_tx, stopped) = oneshot::channel();
+        runtime.spawn(async move {
+            accept(listener, config.body_bytes, handle, stop_rx).await;
+            // The server may have been dropped without being closed.
+            let _ = stopped_tx.send(());
+        });
+        Ok(Self {
+            address,
+            stop,
+            stopped,
+            runtime: runtime.clone(),
+        })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops taking connections and lets requests in progress finish for a short time.
+    pub fn close(self) {
+        // The server ended by itself if nobody listens.
+        let _ = self.stop.send(());
+        let _ = self.runtime.block_on(self.stopped);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    body_bytes: usize,
+    handle: impl Fn(Exchange) + Clone + Send + Sync + 'static,
+    mut stop: oneshot::Receiver<()>,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    tracing::warn!(error = %e, "connection not accepted");
+                    tokio::time::sleep(ACCEPT_RETRY).await;
+                    continue;
+                }
+            },
+            _ = &mut stop => break,
+        };
+        // Without it the connection still works, only slower.
+        let _ = stream.set_nodelay(true);
+        let handle = handle.clone();
+        let service = service_fn(move |req| serve(req, body_bytes, handle.clone()));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(error = %e, "connection of a client broke");
+            }
+        });
+    }
+    drop(listener);
+    drop(tokio::time::timeout(CLOSE_TIMEOUT, graceful.shutdown()).await);
+}
+
+async fn serve(
+    req: Request<Incoming>,
+    body_bytes: usize,
+    handle: impl Fn(Exchange),
+) -> Result<Response<String>, Infallible> {
+    let (head, body) = req.into_parts();
+    let body = read_body(body, body_bytes).await;
+    let refused = body.is_err();
+    let (tx, rx) = oneshot::channel();
+    handle(Exchange::new(head, body, tx));
+    let reply = rx
+        .await
+        .unwrap_or_else(|_| Reply::text(500, "internal error\n".to_owned()));
+    let mut response = Response::from(reply);
+    if refused {
+        // The rest of the body is not read, so the connection can't be used again.
+        let close = hyper::header::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(hyper::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Reads a body. One that declares to be too long is refused before it is read.
+async fn read_body(body: Incoming, limit: usize) -> Result<String, Reply> {
+    let too_large = || Reply::text(413, format!("at most {limit} bytes"));
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
+    let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
+    let bytes = match read.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
+        Ok(Err(e)) => return Err(Reply::text(400, e.to_string())),
+        Err(e) => return Err(Reply::text(408, e.to_string())),
+    };
+    String::from_utf8(bytes.into()).map_err(|e| Reply::text(400, e.to_string()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod daemon;
 pub mod error;
 pub mod executors;
+pub mod http;
 pub mod input;
 pub mod names;
 mod node_actor;
--- a/src/node_actor.rs
+++ b/src/node_actor.rs
@@ -174,8 +174,7 @@
             Action::RespondChange { call, result } => self.finish_change(call, result),
             Action::RespondDrain { call, found } => {
                 if let Some(pending) = self.calls.remove(&call) {
-                    let runtime = self.around.runtime.clone();
-                    runtime.spawn_blocking(move || respond_drain(pending.responder, found));
+                    respond_drain(pending.responder, found);
                 }
             }
             Action::Send { to, message } => self.around.peers.send(to, message),
@@ -213,8 +212,7 @@
             self.write_audit(config);
         }
         if let Some(pending) = self.calls.remove(&call) {
-            let runtime = &self.around.runtime;
-            runtime.spawn_blocking(move || respond_change(pending.responder, &result));
+            respond_change(pending.responder, &result);
         }
     }
 
--- a/src/operators/api.rs
+++ b/src/operators/api.rs
@@ -19,12 +19,12 @@
 use crate::platform::{PlatformError, PlatformLink, UsageLineWire, UsageWire};
 use cardamomslip_core::ChangeResult;
 use cardamomslip_core::model::configuration::{Change, ChangeRequest, Configuration};
+use hyper::Method;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tiny_http::Method;
 
 /// Time within which the node answers a request for its status.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
@@ -116,17 +116,23 @@
         rx.recv_timeout(STATUS_TIMEOUT).ok()
     }
 
-    /// Serves a request of the operator `who`.
-    pub fn serve(&self, responder: Responder, resource: &str, body: &str, who: &Arc<str>) {
-        let method = responder.request().method().clone();
-        match (method, resource) {
-            (Method::Get, "status") => self.get_status(responder),
-            (Method::Get, "config") => self.get_config(responder),
-            (Method::Get, "audit") => self.get_audit(responder),
-            (Method::Get, "usage") => self.get_usage(responder),
-            (Method::Put, "config") => self.replace(responder, body, who),
-            (Method::Post, "preset") => self.apply_preset(responder, body, who),
-            (Method::Post, "drain") => self.drain(responder, body),
+    /// Serves a request of the operator `who` for a resource below `prefix`. May block.
+    pub fn serve(&self, responder: Responder, prefix: &str, who: &Arc<str>) {
+        let exchange = responder.exchange();
+        let resource = exchange
+            .path()
+            .strip_prefix(prefix)
+            .unwrap_or_default()
+            .to_owned();
+        let body = exchange.body().unwrap_or_default().to_owned();
+        match (exchange.method().clone(), resource.as_str()) {
+            (Method::GET, "status") => self.get_status(responder),
+            (Method::GET, "config") => self.get_config(responder),
+            (Method::GET, "audit") => self.get_audit(responder),
+            (Method::GET, "usage") => self.get_usage(responder),
+            (Method::PUT, "config") => self.replace(responder, &body, who),
+            (Method::POST, "preset") => self.apply_preset(responder, &body, who),
+            (Method::POST, "drain") => self.drain(responder, &body),
             _ => responder.close_problem(&Problem::new(404, "no_such_resource", None)),
         }
     }
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -180,8 +180,8 @@
     pub fn close(self) {
         let (tx, rx) = oneshot::channel();
         self.tx.send(HubEvent::Close(tx));
-        let wait = tokio::time::timeout(CLOSE_TIMEOUT, rx);
-        drop(self.runtime.block_on(wait));
+        let closed = async { tokio::time::timeout(CLOSE_TIMEOUT, rx).await };
+        drop(self.runtime.block_on(closed));
     }
 }
 
