Add the fuzzing oracle of the core, and mend what it found

Found by the oracle, each seen to fail at the default seed first: - A cancelled job answered Running to the caller that cancelled it. - When every VM of a pool stopped, nobody owned the slots: waiting tasks of the stopping VMs never started and the stop never ended. - A request forwarded while a VM handed over its outcomes got no response. - A demand that outlived its sender's connection stayed in the owner's ledger for ever and kept its slots from others: jobs never started. - A task wider than one slot could never start once every executor was on probation. Ruled out for the fourth: ejections, wide tasks, lost grants (the state of all nodes showed an idle pool and an expected wait without any open job).

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -80,8 +80,11 @@
             Event::PeerUp(peer) => systems::membership::peer_up(world, cx, peer),
             Event::PeerDown(peer) => systems::membership::peer_down(world, cx, peer),
             Event::Message { from, message } => {
-                systems::membership::heard(world, cx, from);
-                Self::deliver(world, cx, from, message);
+                // A message that outlived its connection is of no use: its sender may be gone.
+                if world.members.is_connected(from) {
+                    systems::membership::heard(world, cx, from);
+                    Self::deliver(world, cx, from, message);
+                }
             }
             Event::Started { attempt, reply } => {
                 systems::starts::ended(world, cx, attempt, reply);
--- a/crates/core/src/systems/configuration.rs
+++ b/crates/core/src/systems/configuration.rs
@@ -8,6 +8,7 @@
 use crate::model::outcome::{Refusal, RefusalReason};
 use crate::model::store::{StoreOp, StoreReply};
 use crate::node::draw_u128;
+use crate::status::Phase;
 use crate::tables::store_op_table::{PendingChange, PendingOp, StoreTask};
 use crate::world::{Cx, World};
 use std::sync::Arc;
@@ -30,6 +31,14 @@
 
 /// Begins an operator's change.
 pub fn request(world: &mut World, cx: &mut Cx<'_>, call: CallId, req: &ChangeRequest) {
+    if world.phase != Phase::Serving {
+        let refusal = Refusal::not_run(RefusalReason::Stopping);
+        cx.act(Action::RespondChange {
+            call,
+            result: ChangeResult::Refused(refusal),
+        });
+        return;
+    }
     if req.base != world.config_version() {
         let result = ChangeResult::Conflict(world.config.clone());
         cx.act(Action::RespondChange { call, result });
--- a/crates/core/src/systems/dispatch.rs
+++ b/crates/core/src/systems/dispatch.rs
@@ -23,6 +23,8 @@
     executor: ExecutorId,
     speed: f64,
     slots: u16,
+    /// Whether it gets one task only.
+    single: bool,
 }
 
 /// Starts waiting tasks while there are slots for them.
@@ -54,6 +56,7 @@
             executor: row.vm.id,
             speed: row.speed(),
             slots: available(row, sharing),
+            single: row.health != Health::Trusted,
         })
         .filter(|slots| slots.slots > 0)
         .collect();
@@ -66,9 +69,10 @@
         Sharing::Owner => row.idle(),
         Sharing::Independent => row.vm.slots.saturating_sub(row.in_use),
     };
-    match row.health {
-        Health::Trusted => free,
-        Health::Probation | Health::Ejected { .. } => free.min(1),
+    if row.health == Health::Trusted || row.in_use == 0 {
+        free
+    } else {
+        0
     }
 }
 
@@ -109,7 +113,7 @@
     let executor = idle[position];
     let width = start(world, cx, counter, executor);
     idle[position].slots -= width;
-    if idle[position].slots == 0 {
+    if idle[position].slots == 0 || executor.single {
         idle.remove(position);
     }
     true
--- a/crates/core/src/systems/jobs.rs
+++ b/crates/core/src/systems/jobs.rs
@@ -45,14 +45,31 @@
             respond(world, cx, caller, response);
         }
         Lookup::Open if verb == JobVerb::Cancel => {
-            attach(world, cx, caller, id, wait);
             fail(world, cx, id.counter, FailureReason::Cancelled);
+            answer_closed(world, cx, caller, id, customer);
         }
         Lookup::Open => attach(world, cx, caller, id, wait),
         Lookup::NotSubmitted => not_submitted(world, cx, caller, (id, customer, wait), verb),
     }
 }
 
+/// Answers with the outcome of a job that just ended.
+fn answer_closed(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    caller: Caller,
+    id: JobId,
+    customer: CustomerId,
+) {
+    if let Lookup::Closed(outcome) = world.jobs.look_up(id, customer) {
+        let response = Response::Answer {
+            id,
+            outcome: outcome.clone(),
+        };
+        respond(world, cx, caller, response);
+    }
+}
+
 fn not_submitted(
     world: &mut World,
     cx: &mut Cx<'_>,
@@ -69,7 +86,16 @@
                 Refusal::unknown(RefusalReason::NotSubmitted),
             );
         }
-        JobVerb::Cancel => burn(world, cx, caller, (id, customer), FailureReason::Cancelled),
+        JobVerb::Cancel => {
+            // The archive of a closed incarnation gives the same reason for an unused id.
+            let stopping = world.phase != Phase::Serving;
+            let reason = if stopping {
+                FailureReason::Stopping
+            } else {
+                FailureReason::Cancelled
+            };
+            burn(world, cx, caller, (id, customer), reason);
+        }
         JobVerb::Submit(spec) => match admit(world, &spec) {
             Err(reason) => burn(world, cx, caller, (id, customer), reason),
             Ok(estimates) => {
@@ -272,6 +298,8 @@
             });
         }
     }
+    // The owner has to learn that the waiting tasks need no slots any more.
+    world.issuer.changed |= job.waiting_slots > 0;
     world.counters.jobs_failed += 1;
     finish(world, cx, counter, Outcome::failed(reason, ran));
 }
--- a/crates/core/src/systems/membership.rs
+++ b/crates/core/src/systems/membership.rs
@@ -74,10 +74,16 @@
     }
 }
 
-/// Returns the slot owner in this process's view. A process that stops is not an owner.
+/// Returns the slot owner in this process's view. A process that stops is an owner only if every
+/// process stops: their work still has to end.
 pub fn slot_owner(world: &World, now: Time) -> Option<Incarnation> {
-    let serving = world.phase == Phase::Serving;
-    let me = serving.then_some((world.me, world.weight));
-    let peers = world.members.live(now, world.policy.peer_silence);
-    choose_owner(me.into_iter().chain(peers))
+    let silence = world.policy.peer_silence;
+    let me = (world.me, world.weight);
+    let serving = (world.phase == Phase::Serving).then_some(me);
+    let owner = choose_owner(serving.into_iter().chain(world.members.live(now, silence)));
+    owner.or_else(|| {
+        let stopping = world.members.present(now, silence);
+        let stopping = stopping.map(|(peer, beat)| (peer, beat.weight));
+        choose_owner(std::iter::once(me).chain(stopping))
+    })
 }
--- a/crates/core/src/systems/planner.rs
+++ b/crates/core/src/systems/planner.rs
@@ -23,6 +23,8 @@
     executor: ExecutorId,
     speed: f64,
     slots: u32,
+    /// Whether it gets one task only.
+    single: bool,
 }
 
 /// A claim of an issuer, with what the plan gives it.
@@ -147,7 +149,8 @@
     world.executors.top_speed()
 }
 
-/// Lists free slots in order of speed. An executor that an issuer found failing has one at most.
+/// Lists free slots in order of speed. An executor that an issuer found failing gets one task at
+/// a time.
 fn free_slots(world: &World, now: Time, issuers: &[PlannedIssuer]) -> Vec<FreeSlots> {
     let taken = world.ledger.taken();
     let suspect = |executor: ExecutorId| {
@@ -161,17 +164,19 @@
         .iter()
         .filter(|row| row.accepts_work() && is_reachable(world, now, row.vm.id))
         .map(|row| {
-            let limit = if suspect(row.vm.id) {
-                1
+            let single = suspect(row.vm.id);
+            let used = taken.get(&row.vm.id).copied().unwrap_or(0);
+            let limit = if single && used > 0 {
+                0
             } else {
                 u32::from(row.vm.slots)
             };
-            let used = taken.get(&row.vm.id).copied().unwrap_or(0);
             let slots = limit.saturating_sub(used);
             FreeSlots {
                 executor: row.vm.id,
                 speed: row.speed(),
                 slots,
+                single,
             }
         })
         .filter(|slots| slots.slots > 0)
@@ -344,7 +349,7 @@
     issuer.held += width;
     let granted = issuer.grants.entry(slots.executor).or_insert(0);
     *granted += u16::try_from(width).unwrap_or(u16::MAX);
-    if slots.slots == 0 {
+    if slots.slots == 0 || slots.single {
         free.remove(position);
     }
     width
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -7,6 +7,7 @@
 use crate::model::message::Message;
 use crate::model::outcome::{FailureReason, Outcome, Ran, Refusal, RefusalReason};
 use crate::model::request::{Caller, JobRequest, JobVerb, Response};
+use crate::status::Phase;
 use crate::tables::archive::ArchiveLookup;
 use crate::tables::forward_table::Forward;
 use crate::timers::Timer;
@@ -25,6 +26,11 @@
     if answer_from_archive(world, cx, caller, &req) {
         return;
     }
+    if world.phase == Phase::HandingOver {
+        // The response might come when this process is gone.
+        unreachable(world, cx, caller);
+        return;
+    }
     if world.forwards.len() >= world.policy.max_forwards {
         let refusal = Refusal::unknown(RefusalReason::TooManyWaiting);
         refuse(
--- a/crates/core/src/tables/member_table.rs
+++ b/crates/core/src/tables/member_table.rs
@@ -99,10 +99,19 @@
 
     /// Returns the peers heard of within `silence` that take work.
     pub fn live(&self, now: Time, silence: Duration) -> impl Iterator<Item = (Incarnation, u32)> {
+        self.present(now, silence)
+            .filter_map(|(peer, beat)| beat.serving.then_some((peer, beat.weight)))
+    }
+
+    /// Returns the peers heard of within `silence`, whether or not they take work.
+    pub fn present(
+        &self,
+        now: Time,
+        silence: Duration,
+    ) -> impl Iterator<Item = (Incarnation, Heartbeat)> {
         self.rows.iter().filter_map(move |(&peer, row)| {
-            let heartbeat = row.heartbeat?;
             let fresh = now.since(row.heard) < silence;
-            (fresh && heartbeat.serving).then_some((peer, heartbeat.weight))
+            row.heartbeat.filter(|_| fresh).map(|beat| (peer, beat))
         })
     }
 
--- /dev/null
+++ b/crates/core/tests/oracle/fleet.rs
@@ -0,0 +1,1092 @@
+//! Several nodes, joined by a message soup, in virtual time.
+
+use crate::executor::{Executor, Mode};
+use crate::ledger::{CallKind, Ledger, task};
+use crate::store::Store;
+use cardamomslip_core::collections::{FastMap, FastSet};
+use cardamomslip_core::model::configuration::{
+    Change, ChangeRequest, Configuration, CustomerEntry, Preset,
+};
+use cardamomslip_core::model::ids::{AttemptId, CallId, CustomerId, DataCentreId, StoreOpId, VmId};
+use cardamomslip_core::model::incarnation::Incarnation;
+use cardamomslip_core::model::message::Message;
+use cardamomslip_core::model::outcome::Outcome;
+use cardamomslip_core::model::request::{
+    JobRequest, JobVerb, NotStarted, Request, Response, StartOrder, StartReply,
+};
+use cardamomslip_core::model::spec::{JobSpec, Repeatability};
+use cardamomslip_core::model::store::{StoreOp, StoreReply};
+use cardamomslip_core::model::time::Time;
+use cardamomslip_core::model::vm_list::{EntryVm, VmList, VmState};
+use cardamomslip_core::{
+    Action, ChangeResult, Event, Identity, Node, Policy, PolicyBuilder, status::Phase,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Data centres.
+pub const DATA_CENTRES: usize = 2;
+/// Entry VMs in each data centre.
+pub const ENTRIES: usize = 2;
+/// All entry VMs.
+pub const VMS: usize = DATA_CENTRES * ENTRIES;
+/// Executors in each data centre.
+const EXECUTORS: usize = 2;
+/// Slots of each executor.
+const SLOTS: u16 = 3;
+/// Microseconds in a millisecond.
+const MS: u64 = 1_000;
+/// Interval at which connections and polls are brought up to date, in microseconds.
+const HOUSEKEEPING: u64 = 500 * MS;
+/// Time after which a frozen peer is disconnected, in microseconds.
+const SILENCE: u64 = 3_500 * MS;
+/// Bound of the time until an accepted configuration is in force, in microseconds.
+const CONFIG_BOUND: u64 = 5_000 * MS;
+/// Time within which every job ends once everything is healed, in milliseconds.
+const LONGEST_JOB_MS: u64 = 120_000;
+/// Looks whether a planned stop has ended.
+const STOP_STEPS: u32 = 24;
+/// Unfinished tasks that one node holds at most.
+const MAX_OPEN_TASKS: u32 = 12;
+
+/// Something that happens at a time.
+#[derive(Debug)]
+enum Item {
+    Deliver {
+        to: Incarnation,
+        event: Event,
+    },
+    StartArrives {
+        issuer: Incarnation,
+        order: StartOrder,
+    },
+    TaskEnds {
+        executor: usize,
+        issuer: Incarnation,
+        attempt: AttemptId,
+    },
+    AbortArrives {
+        executor: usize,
+        issuer: Incarnation,
+        attempt: AttemptId,
+    },
+    StoreOpArrives {
+        from: Incarnation,
+        op: StoreOpId,
+        req: StoreOp,
+    },
+    StoreEffect(StoreOp),
+    Housekeeping,
+}
+
+/// An entry VM.
+#[derive(Debug)]
+struct Vm {
+    data_centre: DataCentreId,
+    process: Option<Process>,
+    nonce: u64,
+}
+
+/// A run of the daemon.
+#[derive(Debug)]
+struct Process {
+    me: Incarnation,
+    node: Node,
+    epoch: u64,
+    paused_at: Option<u64>,
+    inbox: Vec<(Event, Option<(CallId, CallKind)>)>,
+    calls: FastMap<CallId, CallKind>,
+    version: u64,
+    list: Option<Arc<VmList>>,
+    closing: bool,
+}
+
+/// How the soup treats messages.
+#[derive(Clone, Copy, Debug, Default)]
+struct Chaos {
+    drop: f64,
+    duplicate: f64,
+    delay_ms: u64,
+}
+
+/// Nodes, executors, the platform, and the oracle.
+#[derive(Debug)]
+pub struct Fleet {
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    items: FastMap<u64, Item>,
+    next_item: u64,
+    rng: SmallRng,
+    vms: Vec<Vm>,
+    executors: Vec<Executor>,
+    store: Store,
+    vm_list_revision: u64,
+    links: FastSet<(Incarnation, Incarnation)>,
+    cut: bool,
+    platform_cut: Vec<bool>,
+    chaos: Chaos,
+    next_call: u64,
+    /// The oracle.
+    pub ledger: Ledger,
+    /// What was reached.
+    pub counts: BTreeMap<String, u64>,
+    closed: FastSet<Incarnation>,
+    lost_at_issuer: FastSet<(Incarnation, AttemptId)>,
+    healed_since: Option<u64>,
+}
+
+fn policy() -> Policy {
+    PolicyBuilder::new()
+        .timeout_min(Duration::from_millis(4_000))
+        .timeout_factor(10)
+        .store_deadline(Duration::from_millis(3_000))
+        .usage_interval(Duration::from_millis(2_000))
+        .retention(Duration::from_secs(1_000))
+        .handover_timeout(Duration::from_millis(6_000))
+        .build()
+}
+
+/// Returns the customer with this number.
+pub fn customer(number: usize) -> CustomerId {
+    CustomerId(1 + number as u64 % 2)
+}
+
+fn first_change() -> Change {
+    let preset = |name: &str, admits_work| Preset {
+        name: name.into(),
+        admits_work,
+        max_open_tasks: MAX_OPEN_TASKS,
+    };
+    let entry = |number: usize, weight| CustomerEntry {
+        id: customer(number),
+        name: format!("customer {number}").into(),
+        token_sha256: format!("hash {number}").into(),
+        weight,
+        quota_slots: None,
+    };
+    Change::Replace {
+        preset: "ordinary".into(),
+        presets: vec![
+            preset("ordinary", true),
+            preset("peak", true),
+            preset("maintenance", false),
+        ],
+        customers: vec![entry(0, 1), entry(1, 2)],
+    }
+}
+
+impl Fleet {
+    /// Starts all nodes with a first configuration in the store.
+    pub fn new(seed: u64) -> Self {
+        let vms = (0..VMS)
+            .map(|i| Vm {
+                data_centre: DataCentreId((i / ENTRIES) as u64),
+                process: None,
+                nonce: 0,
+            })
+            .collect();
+        let executors = (0..DATA_CENTRES * EXECUTORS)
+            .map(|i| {
+                let speed = 500 + 500 * (i as u32 % 3);
+                Executor::new(i as u64, (i / EXECUTORS) as u64, SLOTS, speed)
+            })
+            .collect();
+        let mut fleet = Self {
+            now: 0,
+            queue: BinaryHeap::new(),
+            items: FastMap::default(),
+            next_item: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            vms,
+            executors,
+            store: Store::default(),
+            vm_list_revision: 1,
+            links: FastSet::default(),
+            cut: false,
+            platform_cut: vec![false; DATA_CENTRES],
+            chaos: Chaos::default(),
+            next_call: 0,
+            ledger: Ledger::default(),
+            counts: BTreeMap::new(),
+            closed: FastSet::default(),
+            lost_at_issuer: FastSet::default(),
+            healed_since: None,
+        };
+        let req = change_request(0, first_change());
+        let config = Configuration::successor(None, &req, 1).expect("a valid configuration");
+        let config = Arc::new(config);
+        fleet
+            .store
+            .perform(&StoreOp::SwapConfiguration { base: 0, config });
+        for vm in 0..VMS {
+            fleet.replace(vm);
+        }
+        fleet.push(0, Item::Housekeeping);
+        fleet.advance(3_000);
+        fleet
+    }
+
+    /// Counts something that was reached.
+    pub fn count(&mut self, name: impl Into<String>) {
+        *self.counts.entry(name.into()).or_insert(0) += 1;
+    }
+
+    fn push(&mut self, delay: u64, item: Item) {
+        let number = self.next_item;
+        self.next_item += 1;
+        self.items.insert(number, item);
+        self.queue.push(Reverse((self.now + delay, number)));
+    }
+
+    fn vm_of(&self, me: Incarnation) -> Option<usize> {
+        let vm = usize::try_from(me.vm.0).ok()?;
+        let process = self.vms[vm].process.as_ref()?;
+        (process.me == me).then_some(vm)
+    }
+
+    /// Runs for `ms` milliseconds.
+    pub fn advance(&mut self, ms: u64) {
+        let end = self.now + ms * MS;
+        loop {
+            let item_at = self.queue.peek().map(|Reverse((at, _))| *at);
+            let tick = self.next_tick();
+            let tick_at = tick.map(|(at, _)| at);
+            let next = item_at.into_iter().chain(tick_at).min();
+            let Some(at) = next.filter(|&at| at <= end) else {
+                break;
+            };
+            self.now = self.now.max(at);
+            if item_at == Some(at) {
+                self.run_item();
+            } else if let Some((_, vm)) = tick {
+                self.run_node(vm, None);
+            }
+        }
+        self.now = end;
+    }
+
+    fn next_tick(&self) -> Option<(u64, usize)> {
+        let ticks = self.vms.iter().enumerate().filter_map(|(vm, row)| {
+            let process = row
+                .process
+                .as_ref()
+                .filter(|process| process.paused_at.is_none())?;
+            let at = process.node.next_tick()?;
+            Some((process.epoch + at.as_micros(), vm))
+        });
+        ticks.min()
+    }
+
+    fn run_item(&mut self) {
+        let Some(Reverse((_, number))) = self.queue.pop() else {
+            return;
+        };
+        let Some(item) = self.items.remove(&number) else {
+            return;
+        };
+        match item {
+            Item::Deliver { to, event } => {
+                if let Some(vm) = self.vm_of(to) {
+                    self.run_node(vm, Some(event));
+                }
+            }
+            Item::StartArrives { issuer, order } => self.start_arrives(issuer, order),
+            Item::TaskEnds {
+                executor,
+                issuer,
+                attempt,
+            } => {
+                self.task_ends(executor, issuer, attempt, false);
+            }
+            Item::AbortArrives {
+                executor,
+                issuer,
+                attempt,
+            } => {
+                self.task_ends(executor, issuer, attempt, true);
+            }
+            Item::StoreOpArrives { from, op, req } => self.store_op_arrives(from, op, &req),
+            Item::StoreEffect(req) => {
+                self.store.perform(&req);
+            }
+            Item::Housekeeping => {
+                self.housekeeping();
+                self.push(HOUSEKEEPING, Item::Housekeeping);
+            }
+        }
+    }
+
+    /// Feeds a node an event, or lets it tick, and carries out its actions.
+    fn run_node(&mut self, vm: usize, event: Option<Event>) {
+        let now = self.now;
+        let Some(process) = self.vms[vm].process.as_mut() else {
+            return;
+        };
+        if process.paused_at.is_some() {
+            process.inbox.extend(event.map(|event| (event, None)));
+            return;
+        }
+        let time = Time::from_micros(now - process.epoch);
+        let mut actions = Vec::new();
+        if let Some(event) = event {
+            process.node.handle(time, event, &mut actions);
+        }
+        process.node.tick(time, &mut actions);
+        let me = process.me;
+        for action in actions {
+            self.act(vm, me, action);
+        }
+    }
+
+    fn act(&mut self, vm: usize, me: Incarnation, action: Action) {
+        match action {
+            Action::Respond { call, response } => self.responded(vm, call, &response),
+            Action::RespondChange { call, result } => {
+                self.count(match result {
+                    ChangeResult::Applied(_) => "change applied",
+                    ChangeResult::Conflict(_) => "change conflict",
+                    ChangeResult::Invalid(_) => "change invalid",
+                    ChangeResult::Refused(_) => "change refused",
+                });
+                self.process(vm).calls.remove(&call);
+            }
+            Action::RespondDrain { .. } => {}
+            Action::Send { to, message } => self.send(me, to, message),
+            Action::Start(order) => self.send_start(vm, me, order),
+            Action::Abort { attempt, executor } => {
+                let executor = executor.0 as usize;
+                let item = Item::AbortArrives {
+                    executor,
+                    issuer: me,
+                    attempt,
+                };
+                let delay = self.latency();
+                self.push(delay, item);
+            }
+            Action::Store { op, req } => {
+                let delay = self.latency();
+                self.push(delay, Item::StoreOpArrives { from: me, op, req });
+            }
+            Action::AdoptConfiguration(config) => self.adopted(vm, &config),
+            Action::AdoptVmList(list) => self.process(vm).list = Some(list),
+            Action::Closed => self.node_closed(vm, me),
+        }
+    }
+
+    fn process(&mut self, vm: usize) -> &mut Process {
+        self.vms[vm].process.as_mut().expect("the process acts")
+    }
+
+    fn responded(&mut self, vm: usize, call: CallId, response: &Response) {
+        let kind = self
+            .process(vm)
+            .calls
+            .remove(&call)
+            .expect("each call is answered once");
+        let next_call = CallId(self.next_call);
+        self.ledger.note_response(call, next_call, kind, response);
+        match response {
+            Response::Answer {
+                outcome: Outcome::Complete(_),
+                ..
+            } => {
+                self.count("outcome complete");
+            }
+            Response::Answer {
+                outcome: Outcome::Failed { reason, .. },
+                ..
+            } => {
+                self.count(format!("outcome {reason:?}"));
+            }
+            Response::Refused(refusal) => self.count(format!("refused {:?}", refusal.reason)),
+            Response::Ids(_) | Response::Running { .. } => {}
+        }
+    }
+
+    fn adopted(&mut self, vm: usize, config: &Arc<Configuration>) {
+        let process = self.process(vm);
+        assert!(
+            config.version > process.version,
+            "the configuration went back"
+        );
+        process.version = config.version;
+        let accepted = self
+            .store
+            .accepted
+            .iter()
+            .find(|row| row.version == config.version);
+        // A change whose reply is on its way is accepted already.
+        assert_eq!(
+            accepted,
+            Some(config),
+            "a configuration is in force that was not accepted"
+        );
+        config.validate().expect("exactly one preset is in force");
+    }
+
+    fn node_closed(&mut self, vm: usize, me: Incarnation) {
+        self.count("closed gracefully");
+        let process = self.vms[vm].process.take().expect("the process acts");
+        let open: Vec<_> = process.calls.values().collect();
+        assert!(open.is_empty(), "a planned stop cut off callers: {open:?}");
+        for executor in &self.executors {
+            let running = executor.running.keys().filter(|(issuer, _)| *issuer == me);
+            let cut_off: Vec<_> = running
+                .filter(|key| !self.lost_at_issuer.contains(*key))
+                .collect();
+            assert!(
+                cut_off.is_empty(),
+                "a planned stop cut off tasks: {cut_off:?}"
+            );
+        }
+        self.closed.insert(me);
+        self.drop_links(me);
+    }
+
+    /// Returns the time that a message takes, in microseconds.
+    fn latency(&mut self) -> u64 {
+        let base = self.rng.random_range(200..2 * MS);
+        if self.chaos.delay_ms == 0 || !self.rng.random_bool(0.2) {
+            return base;
+        }
+        base + self.rng.random_range(0..self.chaos.delay_ms * MS)
+    }
+
+    fn is_cut(&self, a: DataCentreId, b: DataCentreId) -> bool {
+        self.cut && a != b
+    }
+
+    fn send(&mut self, from: Incarnation, to: Incarnation, message: Message) {
+        let cut = self.is_cut(from.data_centre, to.data_centre);
+        if cut || self.rng.random_bool(self.chaos.drop) {
+            self.count("message dropped");
+            return;
+        }
+        if self.rng.random_bool(self.chaos.duplicate) {
+            self.count("message duplicated");
+            let delay = self.latency();
+            let event = Event::Message {
+                from,
+                message: message.clone(),
+            };
+            self.push(delay, Item::Deliver { to, event });
+        }
+        let delay = self.latency();
+        self.push(
+            delay,
+            Item::Deliver {
+                to,
+                event: Event::Message { from, message },
+            },
+        );
+    }
+
+    fn send_start(&mut self, vm: usize, me: Incarnation, order: StartOrder) {
+        let listed_leaving = self.process(vm).list.as_ref().is_some_and(|list| {
+            let row = list.executors.iter().find(|row| row.id == order.executor);
+            row.is_none_or(|row| row.state == VmState::Leaving)
+        });
+        assert!(
+            !listed_leaving,
+            "a start on an upstream that is known to be leaving"
+        );
+        let delay = self.latency();
+        self.push(delay, Item::StartArrives { issuer: me, order });
+    }
+
+    fn reply_start(&mut self, issuer: Incarnation, attempt: AttemptId, reply: StartReply) {
+        match reply {
+            StartReply::NotStarted(_) => self.count("start not_started"),
+            StartReply::Lost => {
+                self.count("start lost");
+                self.lost_at_issuer.insert((issuer, attempt));
+            }
+            StartReply::Done { .. } | StartReply::Failed { .. } => {}
+        }
+        let delay = self.latency();
+        let event = Event::Started { attempt, reply };
+        self.push(delay, Item::Deliver { to: issuer, event });
+    }
+
+    fn start_arrives(&mut self, issuer: Incarnation, order: StartOrder) {
+        let attempt = order.attempt;
+        let executor = order.executor.0 as usize;
+        if self.is_cut(issuer.data_centre, self.executors[executor].data_centre) {
+            let reply = StartReply::NotStarted(NotStarted::Unreachable);
+            self.reply_start(issuer, attempt, reply);
+            return;
+        }
+        if self.rng.random_bool(self.chaos.drop / 4.0) {
+            // The request is lost on its way, and the issuer only sees a broken connection.
+            self.reply_start(issuer, attempt, StartReply::Lost);
+            return;
+        }
+        match self.executors[executor].start(issuer, order.clone(), self.now) {
+            Ok(run) => {
+                self.ledger.note_start(&order);
+                let run = u64::try_from(run.as_micros()).unwrap_or(u64::MAX);
+                self.push(
+                    run,
+                    Item::TaskEnds {
+                        executor,
+                        issuer,
+                        attempt,
+                    },
+                );
+            }
+            Err(reason) => {
+                self.reply_start(issuer, attempt, StartReply::NotStarted(reason));
+            }
+        }
+    }
+
+    fn task_ends(
+        &mut self,
+        executor: usize,
+        issuer: Incarnation,
+        attempt: AttemptId,
+        aborted: bool,
+    ) {
+        let Some(reply) = self.executors[executor].end(issuer, attempt, self.now, aborted) else {
+            return;
+        };
+        let cut = self.is_cut(issuer.data_centre, self.executors[executor].data_centre);
+        let lost = cut || self.rng.random_bool(self.chaos.drop / 4.0);
+        let reply = if lost { StartReply::Lost } else { reply };
+        self.reply_start(issuer, attempt, reply);
+    }
+
+    fn store_op_arrives(&mut self, from: Incarnation, op: StoreOpId, req: &StoreOp) {
+        let cut = self.platform_cut[from.data_centre.0 as usize];
+        let roll: f64 = self.rng.random();
+        let reply = if cut || roll < self.chaos.drop {
+            StoreReply::Lost
+        } else if roll < 2.0 * self.chaos.drop {
+            self.store.perform(req);
+            StoreReply::Lost
+        } else if roll < 3.0 * self.chaos.drop {
+            // The write takes effect long after the caller gave it up.
+            let delay = self.rng.random_range(0..3_000 * MS);
+            self.push(delay, Item::StoreEffect(req.clone()));
+            StoreReply::Lost
+        } else {
+            self.store.perform(req)
+        };
+        if reply == StoreReply::Lost {
+            self.count("store reply lost");
+        }
+        let delay = self.latency();
+        self.push(
+            delay,
+            Item::Deliver {
+                to: from,
+                event: Event::Store { op, reply },
+            },
+        );
+    }
+
+    /// Brings connections up to date and delivers what the platform publishes.
+    fn housekeeping(&mut self) {
+        for a in 0..VMS {
+            for b in a + 1..VMS {
+                self.update_link(a, b);
+            }
+        }
+        let list = Arc::new(self.vm_list());
+        for vm in 0..VMS {
+            let data_centre = self.vms[vm].data_centre.0 as usize;
+            if self.platform_cut[data_centre] || self.vms[vm].process.is_none() {
+                continue;
+            }
+            if let Some(config) = self.store.config.clone() {
+                self.run_node(vm, Some(Event::Configuration(config)));
+            }
+            self.run_node(vm, Some(Event::VmList(Arc::clone(&list))));
+        }
+        self.check_spread();
+    }
+
+    fn vm_list(&self) -> VmList {
+        let entries = self.vms.iter().zip(0..).map(|(vm, i)| EntryVm {
+            id: VmId(i),
+            data_centre: vm.data_centre,
+            peer_address: "".into(),
+            state: VmState::Live,
+        });
+        VmList {
+            revision: self.vm_list_revision,
+            entries: entries.collect(),
+            executors: self.executors.iter().map(Executor::listed).collect(),
+        }
+    }
+
+    fn update_link(&mut self, a: usize, b: usize) {
+        let (Some(x), Some(y)) = (&self.vms[a].process, &self.vms[b].process) else {
+            return;
+        };
+        let (now, pair) = (self.now, (x.me, y.me));
+        let silent = |process: &Process| process.paused_at.is_some_and(|at| now - at > SILENCE);
+        let cut = self.is_cut(x.me.data_centre, y.me.data_centre);
+        let wanted = !cut && !silent(x) && !silent(y);
+        let up = self.links.contains(&pair);
+        if wanted && !up {
+            self.links.insert(pair);
+            self.run_node(a, Some(Event::PeerUp(pair.1)));
+            self.run_node(b, Some(Event::PeerUp(pair.0)));
+        } else if !wanted && up {
+            self.links.remove(&pair);
+            self.run_node(a, Some(Event::PeerDown(pair.1)));
+            self.run_node(b, Some(Event::PeerDown(pair.0)));
+        }
+    }
+
+    fn drop_links(&mut self, gone: Incarnation) {
+        let links: Vec<_> = self.links.iter().copied().collect();
+        for (x, y) in links {
+            if x != gone && y != gone {
+                continue;
+            }
+            self.links.remove(&(x, y));
+            let other = if x == gone { y } else { x };
+            if let Some(vm) = self.vm_of(other) {
+                self.run_node(vm, Some(Event::PeerDown(gone)));
+            }
+        }
+    }
+
+    /// Checks that an accepted configuration is in force within its bound once nothing is cut.
+    fn check_spread(&mut self) {
+        let Some(config) = self.store.config.clone() else {
+            return;
+        };
+        let calm = !self.cut && !self.platform_cut.iter().any(|&cut| cut);
+        let since = match (calm, self.healed_since) {
+            (true, Some(since)) => since,
+            (true, None) => {
+                self.healed_since = Some(self.now);
+                return;
+            }
+            (false, _) => {
+                self.healed_since = None;
+                return;
+            }
+        };
+        let accepted_at = self.now.saturating_sub(CONFIG_BOUND);
+        for vm in &self.vms {
+            let Some(process) = &vm.process else {
+                continue;
+            };
+            let settled = since < accepted_at && process.epoch < accepted_at;
+            if settled && process.paused_at.is_none() {
+                assert!(
+                    process.version + 1 >= config.version,
+                    "a configuration did not spread"
+                );
+            }
+        }
+    }
+
+    fn call(&mut self, vm: usize, kind: CallKind, req: Request) {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let Some(process) = self.vms[vm].process.as_mut() else {
+            return;
+        };
+        let event = Event::Call { call, req };
+        if process.paused_at.is_some() {
+            process.inbox.push((event, Some((call, kind))));
+            return;
+        }
+        process.calls.insert(call, kind);
+        self.run_node(vm, Some(event));
+    }
+
+    /// Prepares a submission and takes an id for it unless it is `keyed`.
+    pub fn take_ids(&mut self, vm: usize, shape: Shape, keyed: bool) {
+        let number = self.ledger.submissions.len();
+        let label = format!("s{number}");
+        let submission = shape.submission(&label, customer(number));
+        self.ledger.submissions.push(submission);
+        if !keyed {
+            let req = Request::TakeIds {
+                customer: customer(number),
+                count: 1,
+            };
+            self.call(vm, CallKind::TakeIds(number), req);
+        }
+    }
+
+    /// Submits or repeats a submission through any VM.
+    pub fn submit(&mut self, vm: usize, number: usize, wait_ms: u64) {
+        let wait = Duration::from_millis(wait_ms);
+        self.ledger.submissions[number].submitted = true;
+        let row = self.ledger.submissions[number].clone();
+        let req = match row.id {
+            Some(id) => {
+                let verb = JobVerb::Submit(row.spec);
+                Request::Job(JobRequest {
+                    id,
+                    customer: row.customer,
+                    wait,
+                    verb,
+                })
+            }
+            None => Request::Keyed {
+                customer: row.customer,
+                key: row.label.as_str().into(),
+                spec: row.spec,
+                wait,
+            },
+        };
+        self.call(vm, CallKind::Job(number), req);
+    }
+
+    /// Fetches or cancels a submission that has an id.
+    pub fn ask(&mut self, vm: usize, number: usize, verb: JobVerb, foreign: bool) {
+        let row = &self.ledger.submissions[number];
+        let Some(id) = row.id else {
+            return;
+        };
+        let kind = if foreign {
+            CallKind::Foreign
+        } else {
+            CallKind::Job(number)
+        };
+        let customer = if foreign {
+            customer(number + 1)
+        } else {
+            row.customer
+        };
+        let wait = Duration::ZERO;
+        self.call(
+            vm,
+            kind,
+            Request::Job(JobRequest {
+                id,
+                customer,
+                wait,
+                verb,
+            }),
+        );
+    }
+
+    /// Puts a preset in force, based on the version that the VM knows.
+    pub fn change(&mut self, vm: usize, preset: &str) {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let Some(process) = self.vms[vm].process.as_mut() else {
+            return;
+        };
+        let req = change_request(process.version, Change::ApplyPreset(preset.into()));
+        let event = Event::Change { call, req };
+        if process.paused_at.is_some() {
+            process.inbox.push((event, Some((call, CallKind::Change))));
+            return;
+        }
+        process.calls.insert(call, CallKind::Change);
+        self.run_node(vm, Some(event));
+    }
+
+    /// Tells whether a VM has a process.
+    pub fn is_up(&self, vm: usize) -> bool {
+        self.vms[vm].process.is_some()
+    }
+
+    /// Kills the process of a VM.
+    pub fn kill(&mut self, vm: usize) {
+        if let Some(process) = self.vms[vm].process.take() {
+            self.drop_links(process.me);
+        }
+    }
+
+    /// Starts a fresh process on a VM without one.
+    pub fn replace(&mut self, vm: usize) {
+        if self.vms[vm].process.is_some() {
+            return;
+        }
+        let row = &mut self.vms[vm];
+        row.nonce += 1;
+        let me = Incarnation {
+            data_centre: row.data_centre,
+            vm: VmId(vm as u64),
+            nonce: row.nonce,
+        };
+        let seed = self.rng.random();
+        let node = Node::new(
+            Identity {
+                me,
+                weight: 1 + vm as u32 % 2,
+                seed,
+            },
+            policy(),
+        );
+        row.process = Some(Process {
+            me,
+            node,
+            epoch: self.now,
+            paused_at: None,
+            inbox: Vec::new(),
+            calls: FastMap::default(),
+            version: 0,
+            list: None,
+            closing: false,
+        });
+    }
+
+    /// Freezes the process of a VM.
+    pub fn pause(&mut self, vm: usize) {
+        let now = self.now;
+        if let Some(process) = self.vms[vm].process.as_mut() {
+            process.paused_at.get_or_insert(now);
+        }
+    }
+
+    /// Lets a frozen process go on; it then sees what came meanwhile.
+    pub fn resume(&mut self, vm: usize) {
+        let Some(process) = self.vms[vm].process.as_mut() else {
+            return;
+        };
+        process.paused_at = None;
+        for (event, call) in std::mem::take(&mut process.inbox) {
+            let Some(process) = self.vms[vm].process.as_mut() else {
+                // Requests that wait before a process that ends are refused by its machine.
+                return;
+            };
+            process.calls.extend(call);
+            self.run_node(vm, Some(event));
+        }
+    }
+
+    /// Begins the graceful stop of a VM's process.
+    pub fn stop(&mut self, vm: usize) {
+        if let Some(process) = self.vms[vm].process.as_mut() {
+            process.closing = true;
+        }
+        self.run_node(vm, Some(Event::Stop));
+    }
+
+    /// Cuts the data centres off from each other.
+    pub fn cut(&mut self) {
+        self.cut = true;
+    }
+
+    /// Cuts a data centre off from the platform.
+    pub fn cut_platform(&mut self, data_centre: usize) {
+        self.platform_cut[data_centre] = true;
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.cut = false;
+        self.platform_cut.fill(false);
+    }
+
+    /// Sets how the soup treats messages; 0 is lossless.
+    pub fn set_chaos(&mut self, level: u8) {
+        let level = f64::from(level);
+        self.chaos = Chaos {
+            drop: 0.05 * level,
+            duplicate: 0.1 * level,
+            delay_ms: (level * 400.0) as u64,
+        };
+    }
+
+    /// Sets the behaviour of an executor.
+    pub fn set_mode(&mut self, executor: usize, mode: Mode) {
+        let count = self.executors.len();
+        self.executors[executor % count].mode = mode;
+    }
+
+    /// Lets an executor leave or come back.
+    pub fn set_leaving(&mut self, executor: usize, leaving: bool) {
+        let count = self.executors.len();
+        self.executors[executor % count].leaving = leaving;
+        self.vm_list_revision += 1;
+    }
+
+    /// Heals everything, lets all work end, and checks that nothing is lost.
+    pub fn finish(&mut self) {
+        self.heal();
+        self.set_chaos(0);
+        for executor in 0..self.executors.len() {
+            self.set_mode(executor, Mode::Normal);
+            self.set_leaving(executor, false);
+        }
+        for vm in 0..VMS {
+            self.resume(vm);
+        }
+        self.wait_for_stops();
+        for vm in 0..VMS {
+            self.replace(vm);
+        }
+        self.advance(LONGEST_JOB_MS);
+        self.fetch_all();
+        self.advance(5_000);
+        self.check_answers();
+        self.check_usage();
+    }
+
+    /// Lets the processes that stop come to their end.
+    fn wait_for_stops(&mut self) {
+        let closing = |vm: &Vm| vm.process.as_ref().is_some_and(|process| process.closing);
+        for _ in 0..STOP_STEPS {
+            self.advance(LONGEST_JOB_MS / u64::from(STOP_STEPS));
+            if !self.vms.iter().any(closing) {
+                return;
+            }
+        }
+        panic!("a planned stop does not come to its end");
+    }
+
+    fn fetch_all(&mut self) {
+        for number in 0..self.ledger.submissions.len() {
+            let vm = self.rng.random_range(0..VMS);
+            self.ask(vm, number, JobVerb::Fetch, false);
+        }
+    }
+
+    fn check_answers(&mut self) {
+        let version = self
+            .store
+            .config
+            .as_ref()
+            .map_or(0, |config| config.version);
+        for vm in &self.vms {
+            let process = vm.process.as_ref().expect("all VMs are replaced");
+            assert_eq!(
+                process.version, version,
+                "the configuration is not in force everywhere"
+            );
+            assert!(
+                process.calls.is_empty(),
+                "calls without an answer: {:?}",
+                process.calls
+            );
+            let phase = process
+                .node
+                .status(Time::from_micros(self.now - process.epoch))
+                .phase;
+            assert_eq!(phase, Phase::Serving);
+        }
+        for (number, row) in self.ledger.submissions.iter().enumerate() {
+            let Some(id) = row.id else {
+                continue;
+            };
+            if row.submitted && self.ledger.is_accepted(id) {
+                let last = self.ledger.last_response(number);
+                let answered = self.ledger.is_answered(id);
+                assert!(
+                    answered,
+                    "the answer of {} is lost: {last:?}\n{}",
+                    row.label,
+                    self.describe()
+                );
+            }
+        }
+    }
+
+    /// Describes all processes and executors, for messages.
+    fn describe(&self) -> String {
+        let mut text = String::new();
+        for process in self.vms.iter().filter_map(|vm| vm.process.as_ref()) {
+            let status = process
+                .node
+                .status(Time::from_micros(self.now - process.epoch));
+            text += &format!("{status:?}\n");
+            for row in process.node.executors() {
+                text += &format!("    {row:?}\n");
+            }
+        }
+        text
+    }
+
+    /// Compares the usage of each process, and of each that closed, with the executors' counts.
+    fn check_usage(&mut self) {
+        let mut reports: Vec<_> = self
+            .vms
+            .iter()
+            .filter_map(|vm| vm.process.as_ref())
+            .map(|process| {
+                process
+                    .node
+                    .usage(Time::from_micros(self.now - process.epoch))
+            })
+            .collect();
+        let closed = self.closed.iter().filter_map(|me| self.store.usage.get(me));
+        reports.extend(closed.filter(|report| report.closed).cloned());
+        for report in reports {
+            let me = report.incarnation;
+            let settled: Duration = report.lines.iter().map(|line| line.settled).sum();
+            let unsettled: Duration = report.lines.iter().map(|line| line.unsettled).sum();
+            let counted: Duration = self
+                .executors
+                .iter()
+                .filter_map(|row| row.counted.get(&me))
+                .sum();
+            assert!(
+                settled <= counted,
+                "{me} credits {settled:?} of {counted:?}"
+            );
+            assert!(
+                counted <= settled + unsettled,
+                "{me} credits {settled:?} and {unsettled:?} unsettled of {counted:?}"
+            );
+        }
+    }
+}
+
+fn change_request(base: u64, change: Change) -> ChangeRequest {
+    ChangeRequest {
+        base,
+        who: "operator".into(),
+        why: "test".into(),
+        when_ms: 0,
+        change,
+    }
+}
+
+/// The shape of a job that a case submits.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Number of tasks.
+    pub tasks: usize,
+    /// True run time of a task, in milliseconds.
+    pub run_ms: u64,
+    /// Declared run time, in milliseconds.
+    pub declared_ms: u64,
+    /// Slots of a task; more than an executor has make the job impossible.
+    pub slots: u16,
+    /// Deadline, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Whether tasks may be repeated.
+    pub repeatable: bool,
+}
+
+impl Shape {
+    fn submission(self, label: &str, customer: CustomerId) -> crate::ledger::Submission {
+        let tasks = (0..self.tasks)
+            .map(|i| task(label, i, self.run_ms, self.declared_ms, self.slots))
+            .collect();
+        let repeatability = if self.repeatable {
+            Repeatability::Repeatable
+        } else {
+            Repeatability::Unrepeatable
+        };
+        let deadline = self.deadline_ms.map(Duration::from_millis);
+        crate::ledger::Submission {
+            label: label.to_owned(),
+            customer,
+            id: None,
+            spec: JobSpec {
+                tasks,
+                deadline,
+                repeatability,
+            },
+            submitted: false,
+        }
+    }
+}
