--- /dev/null
+++ b/crates/cli/src/daemon.rs
@@ -0,0 +1,83 @@
+//! The daemon's program.
+
+use crate::logging;
+use cardamomslip::{Daemon, Settings, StopHandle};
+use eyre::{Result, bail};
+use getopts::Options;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::path::PathBuf;
+
+const USAGE: &str = "Usage: cardamomslipd --config FILE [--check]";
+
+/// What the command line asks for.
+struct Args {
+    config: PathBuf,
+    check: bool,
+}
+
+/// Runs the daemon until it is stopped by a signal.
+///
+/// # Errors
+///
+/// Returns an error if the command line or the settings are wrong, or the daemon can't start.
+pub fn run() -> Result<()> {
+    let Some(args) = parse_args()? else {
+        return Ok(());
+    };
+    let settings = Settings::load(&args.config)?;
+    if args.check {
+        println!("{}: valid", args.config.display());
+        return Ok(());
+    }
+    logging::start(&settings.log)?;
+    let daemon = Daemon::start(settings)?;
+    spawn_signal_thread(daemon.stop_handle())?;
+    daemon.wait();
+    Ok(())
+}
+
+fn parse_args() -> Result<Option<Args>> {
+    let mut opts = Options::new();
+    opts.optopt("c", "config", "settings in YAML", "FILE");
+    opts.optflag("", "check", "check the settings and exit");
+    opts.optflag("h", "help", "print this help");
+    opts.optflag("V", "version", "print the version");
+    let matches = match opts.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(e) => bail!("{e}\n{}", opts.usage(USAGE)),
+    };
+    if matches.opt_present("help") {
+        print!("{}", opts.usage(USAGE));
+        return Ok(None);
+    }
+    if matches.opt_present("version") {
+        println!("cardamomslipd {}", env!("CARGO_PKG_VERSION"));
+        return Ok(None);
+    }
+    let Some(config) = matches.opt_str("config") else {
+        bail!("--config is missing\n{}", opts.usage(USAGE));
+    };
+    Ok(Some(Args {
+        config: config.into(),
+        check: matches.opt_present("check"),
+    }))
+}
+
+/// The first signal begins the graceful stop, a second one ends the process at once.
+fn spawn_signal_thread(stop: StopHandle) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    std::thread::spawn(move || {
+        let mut stopping = false;
+        for signal in signals.forever() {
+            if stopping {
+                stop.abandon();
+            } else {
+                tracing::info!(signal, "stopping gracefully");
+                stop.stop();
+            }
+            stopping = true;
+        }
+    });
+    Ok(())
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod client;
 pub mod commands;
+pub mod daemon;
 pub mod logging;
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -111,6 +111,8 @@
     ejection_max: Duration = Duration::from_millis(30_000),
     /// Time for which an executor that refused as busy is left out.
     busy_backoff: Duration = Duration::from_millis(50),
+    /// Time for which an executor's word counts that it is leaving while the list has it live.
+    leaving_memory: Duration = Duration::from_millis(30_000),
     /// Attempt timeout as a multiple of the expected run time.
     timeout_factor: u32 = 20,
     /// Least attempt timeout.
--- a/crates/core/src/systems/demand.rs
+++ b/crates/core/src/systems/demand.rs
@@ -164,7 +164,7 @@
         Health::Ejected { .. } => Some(AvoidCause::Failing),
         Health::Probation => Some(AvoidCause::Probation),
         Health::Trusted if now < row.backoff_until => Some(AvoidCause::Busy),
-        Health::Trusted => row.said_leaving.then_some(AvoidCause::Failing),
+        Health::Trusted => (now < row.leaving_until).then_some(AvoidCause::Failing),
     }
 }
 
--- a/crates/core/src/systems/planner.rs
+++ b/crates/core/src/systems/planner.rs
@@ -8,6 +8,7 @@
     AvoidCause, Claim, Demand, Grant, Holding, Message, SPEED_CLASSES, SpeedNeeds,
 };
 use crate::model::time::Time;
+use crate::tables::executor_table::Executor;
 use crate::timers::Timer;
 use crate::world::{Cx, World};
 use std::time::Duration;
@@ -138,9 +139,22 @@
             .reaches(data_centre, now, world.policy.peer_silence)
 }
 
+/// Returns the executors that may get work and that starts can reach. If there is none, those
+/// that may be cut off are tried: their data centre may only have lost its entry VMs.
+fn usable_executors(world: &World, now: Time) -> Vec<&Executor> {
+    let accepting = world.executors.iter().filter(|row| row.accepts_work(now));
+    let (reachable, cut_off): (Vec<_>, Vec<_>) =
+        accepting.partition(|row| is_reachable(world, now, row.vm.id));
+    if reachable.is_empty() {
+        cut_off
+    } else {
+        reachable
+    }
+}
+
 fn usable_capacity(world: &World, now: Time) -> u32 {
-    let rows = world.executors.iter().filter(|row| row.accepts_work());
-    rows.filter(|row| is_reachable(world, now, row.vm.id))
+    usable_executors(world, now)
+        .iter()
         .map(|row| u32::from(row.vm.slots))
         .sum()
 }
@@ -159,10 +173,8 @@
             .filter_map(|issuer| issuer.avoid.get(&executor));
         causes.into_iter().any(|cause| *cause != AvoidCause::Busy)
     };
-    let mut free: Vec<_> = world
-        .executors
-        .iter()
-        .filter(|row| row.accepts_work() && is_reachable(world, now, row.vm.id))
+    let mut free: Vec<_> = usable_executors(world, now)
+        .into_iter()
         .map(|row| {
             let single = suspect(row.vm.id);
             let used = taken.get(&row.vm.id).copied().unwrap_or(0);
@@ -385,11 +397,8 @@
         .iter()
         .map(|planned| planned.claim.work.as_secs_f64())
         .sum();
-    let rows = world.executors.iter().filter(|row| row.accepts_work());
-    let reachable = rows.filter(|row| is_reachable(world, now, row.vm.id));
-    let speed: f64 = reachable
-        .map(|row| row.speed() * f64::from(row.vm.slots))
-        .sum();
+    let rows = usable_executors(world, now).into_iter();
+    let speed: f64 = rows.map(|row| row.speed() * f64::from(row.vm.slots)).sum();
     if speed <= 0.0 {
         return Duration::ZERO;
     }
--- a/crates/core/src/systems/starts.rs
+++ b/crates/core/src/systems/starts.rs
@@ -161,7 +161,7 @@
     };
     match reason {
         NotStarted::Busy => row.backoff_until = now + policy.busy_backoff,
-        NotStarted::Leaving => row.said_leaving = true,
+        NotStarted::Leaving => row.leaving_until = now + policy.leaving_memory,
         NotStarted::Unreachable => {
             if !matches!(row.health, Health::Ejected { .. }) {
                 row.eject(now, policy);
@@ -179,9 +179,10 @@
     let Some(row) = world.executors.get(executor) else {
         return;
     };
+    let left_out_until = row.backoff_until.max(row.leaving_until);
     let until = match row.health {
-        Health::Ejected { until } => until.max(row.backoff_until),
-        Health::Trusted | Health::Probation => row.backoff_until,
+        Health::Ejected { until } => until.max(left_out_until),
+        Health::Trusted | Health::Probation => left_out_until,
     };
     if until > now {
         world
--- a/crates/core/src/tables/executor_table.rs
+++ b/crates/core/src/tables/executor_table.rs
@@ -37,8 +37,8 @@
     pub vm: ExecutorVm,
     /// Whether it is in the current list.
     pub listed: bool,
-    /// Whether it said that it is leaving.
-    pub said_leaving: bool,
+    /// Time until which its word counts that it is leaving, whatever the lagging list says.
+    pub leaving_until: Time,
     /// Whether it gets work.
     pub health: Health,
     /// Time until which it gets nothing because it refused as busy or could not be reached.
@@ -60,7 +60,7 @@
         Self {
             vm,
             listed: true,
-            said_leaving: false,
+            leaving_until: Time::ZERO,
             health: Health::Trusted,
             backoff_until: Time::ZERO,
             failures: 0,
@@ -79,8 +79,8 @@
 
     /// Tells whether the executor may get new work at all.
     #[must_use]
-    pub fn accepts_work(&self) -> bool {
-        self.listed && !self.said_leaving && self.vm.state == VmState::Live
+    pub fn accepts_work(&self, now: Time) -> bool {
+        self.listed && self.vm.state == VmState::Live && now >= self.leaving_until
     }
 
     /// Tells whether this issuer sends it work now.
@@ -91,7 +91,7 @@
             Health::Probation => self.in_use == 0,
             Health::Ejected { .. } => false,
         };
-        healthy && self.accepts_work() && now >= self.backoff_until
+        healthy && self.accepts_work(now) && now >= self.backoff_until
     }
 
     /// Returns the slots that this issuer holds and does not use.
@@ -173,6 +173,9 @@
                     ..Executor::new(vm.clone())
                 };
             }
+            if row.vm.state == VmState::Leaving && vm.state == VmState::Live {
+                row.leaving_until = Time::ZERO;
+            }
             row.vm = vm.clone();
             row.listed = true;
         }
@@ -206,17 +209,17 @@
         }
     }
 
-    /// Returns the largest number of slots of an executor that accepts work.
+    /// Returns the largest number of slots of a listed executor.
     #[must_use]
     pub fn widest(&self) -> u16 {
-        let rows = self.rows.values().filter(|row| row.accepts_work());
+        let rows = self.rows.values().filter(|row| row.listed);
         rows.map(|row| row.vm.slots).max().unwrap_or(0)
     }
 
-    /// Returns the highest speed of an executor that accepts work.
+    /// Returns the highest speed of a listed executor.
     #[must_use]
     pub fn top_speed(&self) -> f64 {
-        let rows = self.rows.values().filter(|row| row.accepts_work());
+        let rows = self.rows.values().filter(|row| row.listed);
         rows.map(Executor::speed).fold(0.0, f64::max)
     }
 
--- a/src/node_actor.rs
+++ b/src/node_actor.rs
@@ -271,7 +271,11 @@
     fn report(&self, now: Time) -> StatusReport {
         let status = self.node.status(now);
         self.around.metrics.record_status(&status);
-        let executors = self.node.executors().map(ExecutorStatus::from).collect();
+        let executors = self
+            .node
+            .executors()
+            .map(|row| ExecutorStatus::new(row, now))
+            .collect();
         let preset = self.config.as_ref().map(|config| &*config.preset);
         let names = (self.around.name.as_str(), self.around.data_centre.as_str());
         StatusReport::new(names, &status, preset, executors)
--- a/src/operators/status.rs
+++ b/src/operators/status.rs
@@ -1,5 +1,6 @@
 //! A snapshot for operators.
 
+use cardamomslip_core::model::time::Time;
 use cardamomslip_core::status::Phase;
 use cardamomslip_core::{Executor, Health, Status};
 use serde::{Deserialize, Serialize};
@@ -114,10 +115,12 @@
     }
 }
 
-impl From<&Executor> for ExecutorStatus {
-    fn from(row: &Executor) -> Self {
+impl ExecutorStatus {
+    /// Converts a row of the core.
+    #[must_use]
+    pub fn new(row: &Executor, now: Time) -> Self {
         let health = match row.health {
-            _ if !row.accepts_work() => "leaving",
+            _ if !row.accepts_work(now) => "leaving",
             Health::Trusted => "trusted",
             Health::Ejected { .. } => "ejected",
             Health::Probation => "probation",
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 /// Interval at which missing connections are looked for.
@@ -320,7 +321,8 @@
         let Some(link) = self.links.get(&to) else {
             return;
         };
-        if link.frames.try_send(encode(message)).is_err() {
+        // A link whose task ended reports that itself.
+        if let Err(TrySendError::Full(_)) = link.frames.try_send(encode(message)) {
             tracing::warn!(peer = %to, "peer does not keep up; closing the connection");
             let number = link.number;
             self.link_down(to, number);
