--- a/crates/core/src/model/message.rs
+++ b/crates/core/src/model/message.rs
@@ -94,28 +94,52 @@
     pub work: Duration,
     /// Estimate of the longest waiting task on an executor of speed 1.
     pub longest: Duration,
+    /// Time until the job is expected to end if its tasks get the speed that they need.
+    pub horizon: Duration,
+    /// Time for which the job has waited for a slot.
+    pub waited: Duration,
 }
 
+impl Claim {
+    /// Tells whether the longest task of `class` should take a slot of `speed` rather than wait
+    /// for a faster one: if the slot delays the job no longer than it has waited already, or than
+    /// `patience`, the time that it is expected to wait.
+    #[must_use]
+    pub fn accepts(&self, class: usize, speed: f64, patience: Duration) -> bool {
+        let share = 1.0 - class as f64 / SPEED_CLASSES as f64;
+        let run = self.longest.mul_f64(share / speed.max(f64::MIN_POSITIVE));
+        run <= self.horizon + self.waited.max(patience)
+    }
+}
+
+/// Share of the time until a job's expected end that a task may take by estimate.
+const HORIZON_SHARE: f64 = 0.8;
+
+/// Share of the speed that a class needs which suffices; learned speeds are noisy.
+const SPEED_SLACK: f64 = 0.9;
+
 /// Number of speed classes in [`SpeedNeeds`].
-pub const SPEED_CLASSES: usize = 4;
+pub const SPEED_CLASSES: usize = 8;
 
 /// Slots by speed class. Class 0 needs nearly the fastest executor, the last class takes any.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SpeedNeeds(pub [u32; SPEED_CLASSES]);
 
 impl SpeedNeeds {
-    /// Returns the class of a task that needs `fraction` of the highest speed.
+    /// Returns the class of a task of `estimate` at speed 1 whose job is expected to end after
+    /// `horizon`.
     #[must_use]
-    pub fn class_of(fraction: f64) -> usize {
-        let classes = SPEED_CLASSES as f64;
-        let steps = ((1.0 - fraction).max(0.0) * classes) as usize;
+    pub fn class_of(estimate: Duration, horizon: Duration, top_speed: f64) -> usize {
+        let allowed = horizon.as_secs_f64() * HORIZON_SHARE * top_speed;
+        let fraction = estimate.as_secs_f64() / allowed.max(f64::MIN_POSITIVE);
+        let steps = ((1.0 - fraction).max(0.0) * SPEED_CLASSES as f64) as usize;
         steps.min(SPEED_CLASSES - 1)
     }
 
     /// Returns the fraction of the highest speed that suffices for `class`.
     #[must_use]
     pub fn fraction_of(class: usize) -> f64 {
-        1.0 - (class + 1) as f64 / SPEED_CLASSES as f64
+        SPEED_SLACK * (1.0 - class as f64 / SPEED_CLASSES as f64)
     }
 
     /// Returns the slots of all classes.
@@ -137,7 +161,7 @@
     /// The most urgent jobs with waiting or running tasks.
     pub claims: Vec<Claim>,
     /// Slots that the issuer still has to give back.
-    pub recall: u32,
+    pub recall: Recall,
     /// Executors that the issuer does not send work to as usual.
     pub avoid: Vec<Avoid>,
 }
@@ -162,6 +186,15 @@
     Probation,
 }
 
+/// Slots that an issuer is to give back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Recall {
+    /// Number of slots.
+    pub slots: u32,
+    /// Lowest speed of the executors whose slots count, in thousandths.
+    pub min_speed_milli: u32,
+}
+
 /// Slots for an issuer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -170,9 +203,11 @@
     /// Slots granted on top of those held.
     pub slots: Vec<Holding>,
     /// Slots that the issuer is to give back as soon as they are idle.
-    pub recall: u32,
+    pub recall: Recall,
     /// Expected time until a newly submitted unit of work starts, given the load of the pool.
     pub expected_wait: Duration,
+    /// Expected time until a task that needs one of the fastest slots gets it.
+    pub patience: Duration,
 }
 
 /// A part of the outcomes of an incarnation that closes.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,7 +1,9 @@
 //! One run of the entry daemon without its surroundings.
 
 use crate::action::Action;
+use crate::collections::FastMap;
 use crate::event::Event;
+use crate::model::ids::CustomerId;
 use crate::model::incarnation::Incarnation;
 use crate::model::job_id::IdKey;
 use crate::model::message::Message;
@@ -111,6 +113,7 @@
         if world.phase == Phase::Closed {
             return;
         }
+        systems::demand::return_recalled(world);
         systems::dispatch::run(world, cx);
         systems::demand::run(world, cx);
         Self::drain_loopback(world, cx);
@@ -162,6 +165,16 @@
         systems::usage::report(&self.world, now, self.world.phase == Phase::Closed)
     }
 
+    /// Returns the number of waiting tasks per customer.
+    #[must_use]
+    pub fn waiting_by_customer(&self) -> FastMap<CustomerId, u64> {
+        let mut waiting = FastMap::default();
+        for job in self.world.jobs.iter_open() {
+            *waiting.entry(job.customer).or_insert(0) += job.queue.len() as u64;
+        }
+        waiting
+    }
+
     /// Returns the health of the executors that this node knows.
     pub fn executors(&self) -> impl Iterator<Item = &Executor> {
         self.world.executors.iter()
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -90,7 +90,9 @@
     /// Least time between two demands of an issuer that gives slots back.
     demand_interval: Duration = Duration::from_millis(20),
     /// Time that an owner collects demands before it plans.
-    plan_delay: Duration = Duration::from_millis(2),
+    plan_delay: Duration = Duration::from_micros(500),
+    /// Least time between two grants to an issuer of slots that need not be fast.
+    grant_interval: Duration = Duration::from_millis(20),
     /// Interval at which demands are repeated while an issuer holds slots or has claims.
     demand_refresh: Duration = Duration::from_millis(500),
     /// Time that an issuer keeps an idle slot for its next job.
--- a/crates/core/src/systems/demand.rs
+++ b/crates/core/src/systems/demand.rs
@@ -1,11 +1,11 @@
 //! The issuer's side of slot sharing: what it holds, wants and gives back.
 
-use super::{jobs, membership};
+use super::{dispatch, jobs, membership};
 use crate::collections::FastMap;
 use crate::model::ids::CustomerId;
 use crate::model::incarnation::Incarnation;
 use crate::model::message::{
-    Avoid, AvoidCause, Claim, Demand, Grant, Holding, Message, SpeedNeeds,
+    Avoid, AvoidCause, Claim, Demand, Grant, Holding, Message, Recall, SpeedNeeds,
 };
 use crate::model::time::Time;
 use crate::policy::Sharing;
@@ -22,7 +22,6 @@
     }
     let owner = follow_owner(world, cx.now);
     return_unusable(world, cx.now);
-    return_recalled(world);
     return_lingering(world, cx);
     let Some(owner) = owner else {
         return;
@@ -52,7 +51,7 @@
     if owner != world.issuer.owner {
         world.issuer.owner = owner;
         world.issuer.changed = true;
-        world.issuer.recall = 0;
+        world.issuer.recall = Recall::default();
     }
     if owner == Some(world.me) {
         world.owner.since.get_or_insert(now);
@@ -64,53 +63,63 @@
 
 /// Gives back idle slots of executors that get no work.
 fn return_unusable(world: &mut World, now: Time) {
-    let mut returned = false;
-    world.executors.for_each_mut(|row| {
-        if row.idle() > 0 && !row.is_usable(now) {
-            row.held = row.in_use;
-            returned = true;
-        }
-    });
-    world.issuer.changed |= returned;
+    release(world, |row| if row.is_usable(now) { 0 } else { row.idle() });
 }
 
-/// Gives back idle slots that the owner wants.
-fn return_recalled(world: &mut World) {
-    let mut recall = world.issuer.recall;
-    if recall == 0 {
+/// Gives back idle slots that the owner wants. Runs before the dispatch, which would use them.
+pub fn return_recalled(world: &mut World) {
+    let Recall {
+        mut slots,
+        min_speed_milli,
+    } = world.issuer.recall;
+    if slots == 0 {
         return;
     }
-    world.executors.for_each_mut(|row| {
-        let slots = u32::from(row.idle()).min(recall);
-        row.held -= u16::try_from(slots).unwrap_or(row.held);
-        recall -= slots;
+    release(world, |row| {
+        if row.speed_milli() < min_speed_milli {
+            return 0;
+        }
+        let returned = u32::from(row.idle()).min(slots);
+        slots -= returned;
+        u16::try_from(returned).unwrap_or(u16::MAX)
     });
-    world.issuer.changed |= recall != world.issuer.recall;
-    world.issuer.recall = recall;
+    world.issuer.recall.slots = slots;
 }
 
 /// Gives back slots that stayed idle.
 fn return_lingering(world: &mut World, cx: &Cx<'_>) {
+    let (now, linger) = (cx.now, world.policy.idle_slot_linger);
+    release(world, |row| {
+        if row.lingers(now, linger) {
+            row.idle()
+        } else {
+            0
+        }
+    });
     let idle = world.executors.iter().any(|row| row.idle() > 0);
-    if !idle {
-        world.issuer.idle_since = None;
-        return;
-    }
-    let linger = world.policy.idle_slot_linger;
-    let Some(since) = world.issuer.idle_since else {
-        world.issuer.idle_since = Some(cx.now);
-        cx.subscribe(world, linger, Timer::DemandDue);
-        return;
-    };
-    if cx.now.since(since) >= linger {
-        world.executors.for_each_mut(|row| row.held = row.in_use);
-        world.issuer.idle_since = None;
-        world.issuer.changed = true;
+    if idle && !world.issuer.lingering {
+        world.issuer.lingering = true;
+        cx.subscribe(world, linger, Timer::LingerCheck);
     }
 }
 
+/// Gives back as many idle slots of each executor as `count` says.
+fn release(world: &mut World, mut count: impl FnMut(&Executor) -> u16) {
+    let mut returned = 0_u32;
+    let mut unused = 0_u32;
+    world.executors.for_each_mut(|row| {
+        let before = row.held;
+        let slots = count(row);
+        unused += u32::from(row.release_idle(slots));
+        returned += u32::from(before - row.held);
+    });
+    world.counters.unused_slots += u64::from(unused);
+    world.issuer.changed |= returned > 0;
+}
+
 /// Repeats the demand, so that the owner's account follows even if messages were lost.
 pub fn refresh(world: &mut World, cx: &Cx<'_>) {
+    world.executors.update_top_speed();
     let holds = world.executors.iter().any(|row| row.held > 0);
     let quiet = !holds && world.ready.is_empty();
     let told = cx.now.since(world.issuer.sent_at) < world.policy.demand_refresh;
@@ -209,6 +218,8 @@
             width: 1,
             work: Duration::ZERO,
             longest: Duration::ZERO,
+            horizon: Duration::ZERO,
+            waited: Duration::ZERO,
         })
         .collect();
     claims.sort_by_key(|claim| claim.customer);
@@ -223,22 +234,20 @@
     sum.width = sum.width.max(claim.width);
     sum.work += claim.work;
     sum.longest = sum.longest.max(claim.longest);
+    sum.horizon = sum.horizon.max(claim.horizon);
+    sum.waited = sum.waited.max(claim.waited);
 }
 
 fn claim_of(world: &World, job: &Job, rank: u64, now: Time) -> Claim {
     let mut needs = SpeedNeeds::default();
     let mut work = Duration::ZERO;
-    let longest = job
-        .next_task()
-        .map(|(_, _, estimate)| estimate)
-        .unwrap_or_default();
+    let longest = job.longest_waiting();
     let top_speed = world.executors.top_speed().max(f64::MIN_POSITIVE);
-    let horizon = job.expected_end.since(now).max(longest.div_f64(top_speed));
+    let horizon = dispatch::time_to_expected_end(world, job, now);
     for &index in &job.queue {
         let estimate = job.estimates[index as usize];
         work += estimate;
-        let needed = estimate.as_secs_f64() / horizon.as_secs_f64().max(f64::MIN_POSITIVE);
-        let class = SpeedNeeds::class_of(needed / top_speed);
+        let class = SpeedNeeds::class_of(estimate, horizon, top_speed);
         needs.0[class] += u32::from(job.spec.tasks[index as usize].slots);
     }
     let width = job.widest_waiting();
@@ -250,6 +259,8 @@
         width,
         work,
         longest,
+        horizon,
+        waited: now.since(job.served),
     }
 }
 
@@ -265,10 +276,10 @@
     }
     for holding in &grant.slots {
         if let Some(row) = world.executors.get_mut(holding.executor) {
-            row.held = row.held.saturating_add(holding.slots).min(row.vm.slots);
+            row.add_granted(holding.slots, cx.now);
         }
     }
     world.issuer.recall = grant.recall;
     world.issuer.expected_wait = grant.expected_wait;
-    world.issuer.idle_since = Some(cx.now);
+    world.issuer.patience = grant.patience;
 }
--- a/crates/core/src/systems/jobs.rs
+++ b/crates/core/src/systems/jobs.rs
@@ -10,6 +10,7 @@
 use crate::model::time::Time;
 use crate::policy::JobOrder;
 use crate::status::Phase;
+use crate::tables::estimator::JobEstimate;
 use crate::tables::job::Job;
 use crate::tables::job_table::Lookup;
 use crate::timers::{CallerKey, Timer};
@@ -98,8 +99,8 @@
         }
         JobVerb::Submit(spec) => match admit(world, &spec) {
             Err(reason) => burn(world, cx, caller, (id, customer), reason),
-            Ok(estimates) => {
-                open(world, cx, id, customer, spec, estimates);
+            Ok(estimate) => {
+                open(world, cx, id, customer, spec, estimate);
                 attach(world, cx, caller, id, wait);
             }
         },
@@ -123,7 +124,7 @@
 }
 
 /// Decides whether a job is taken, and estimates its tasks.
-fn admit(world: &World, spec: &JobSpec) -> Result<Vec<Duration>, FailureReason> {
+fn admit(world: &World, spec: &JobSpec) -> Result<JobEstimate, FailureReason> {
     if world.phase != Phase::Serving {
         return Err(FailureReason::Stopping);
     }
@@ -142,18 +143,11 @@
     if world.open_tasks + count > config.preset_in_force().max_open_tasks as usize {
         return Err(FailureReason::Overloaded);
     }
-    let estimates = estimate(world, spec);
+    let estimate = world.estimator.estimate(&spec.tasks);
     if let Some(deadline) = spec.deadline {
-        check_deadline(world, &estimates, deadline)?;
+        check_deadline(world, &estimate.tasks, deadline)?;
     }
-    Ok(estimates)
-}
-
-fn estimate(world: &World, spec: &JobSpec) -> Vec<Duration> {
-    let tasks = spec.tasks.iter();
-    tasks
-        .map(|task| world.estimator.estimate(&task.kind, task.declared))
-        .collect()
+    Ok(estimate)
 }
 
 /// Refuses a job that would not end before its deadline under the present load.
@@ -176,9 +170,9 @@
     id: JobId,
     customer: CustomerId,
     spec: JobSpec,
-    estimates: Vec<Duration>,
+    estimate: JobEstimate,
 ) {
-    let job = Job::new(id, customer, spec, estimates, cx.now);
+    let job = Job::new(id, customer, spec, estimate, cx.now);
     if let Some(at) = job.deadline {
         world.timers.subscribe(at, Timer::JobDeadline(id.counter));
     }
--- a/crates/core/src/systems/planner.rs
+++ b/crates/core/src/systems/planner.rs
@@ -5,19 +5,27 @@
 use crate::model::ids::{CustomerId, ExecutorId};
 use crate::model::incarnation::Incarnation;
 use crate::model::message::{
-    AvoidCause, Claim, Demand, Grant, Holding, Message, SPEED_CLASSES, SpeedNeeds,
+    AvoidCause, Claim, Demand, Grant, Holding, Message, Recall, SPEED_CLASSES, SpeedNeeds,
 };
 use crate::model::time::Time;
 use crate::tables::executor_table::Executor;
+use crate::tables::ledger::Issuer;
 use crate::timers::Timer;
 use crate::world::{Cx, World};
 use std::time::Duration;
 
 /// Time after which a new owner looks again whether all issuers reported.
 const SETTLE_CHECK: Duration = Duration::from_millis(20);
+/// Time after which claims that wait for faster slots are looked at again.
+const HELD_CHECK: Duration = Duration::from_millis(5);
 /// Least change of the expected wait that is told without other cause.
 const WAIT_STEP: Duration = Duration::from_millis(100);
 
+/// Speed classes whose slots are granted without delay.
+const URGENT_CLASSES: usize = 2;
+/// Weight of a new observation of the time that claims wait for the fastest slots.
+const PATIENCE_GAIN: f64 = 0.05;
+
 /// Free slots of an executor.
 #[derive(Clone, Copy, Debug)]
 struct FreeSlots {
@@ -42,8 +50,14 @@
     id: Incarnation,
     held: u32,
     target: u32,
-    recall: u32,
-    told_recall: u32,
+    recall: Recall,
+    told_recall: Recall,
+    /// Whether a grant was sent to it a moment ago.
+    recent: bool,
+    /// Waiting slots that need the fastest executors.
+    fast_wanted: u32,
+    /// Slots held, by executor.
+    holdings: FastMap<ExecutorId, u32>,
     avoid: FastMap<ExecutorId, AvoidCause>,
     grants: FastMap<ExecutorId, u16>,
 }
@@ -53,7 +67,7 @@
     if membership::slot_owner(world, cx.now) != Some(world.me) {
         return;
     }
-    world.ledger.take_demand(from, demand);
+    world.ledger.take_demand(from, demand, cx.now);
     schedule(world, cx);
 }
 
@@ -79,16 +93,35 @@
     world
         .ledger
         .expire_grants(cx.now, world.policy.grant_lifetime);
-    let mut issuers = planned_issuers(world);
+    let mut issuers = planned_issuers(world, cx.now);
     let mut free = free_slots(world, cx.now, &issuers);
     let capacity = usable_capacity(world, cx.now);
-    let mut claims = planned_claims(world);
+    let mut claims = planned_claims(world, cx.now);
     set_targets(world, &mut claims, capacity);
     for planned in &claims {
         issuers[planned.issuer].target += planned.target;
+        issuers[planned.issuer].fast_wanted += planned.claim.needs.0[0];
+    }
+    let mut granting = Granting {
+        free: &mut free,
+        top_speed: top_speed(world),
+        patience: world.owner.patience,
+        lacking: SpeedNeeds::default(),
+        deferred: false,
+    };
+    granting.run(&claims, &mut issuers);
+    let Granting {
+        lacking,
+        deferred,
+        patience,
+        ..
+    } = granting;
+    world.owner.patience = patience;
+    plan_recalls(world, &mut issuers, &lacking);
+    if deferred || (lacking.total() > 0 && !free.is_empty()) {
+        world.owner.scheduled = true;
+        cx.subscribe(world, HELD_CHECK, Timer::PlanDue);
     }
-    grant_free(&claims, &mut issuers, &mut free, top_speed(world));
-    plan_recalls(&mut issuers);
     let wait = expected_wait(world, cx.now, &claims);
     tell(world, cx, &issuers, wait);
 }
@@ -103,15 +136,18 @@
         .all(|peer| world.ledger.knows(peer))
 }
 
-fn planned_issuers(world: &World) -> Vec<PlannedIssuer> {
+fn planned_issuers(world: &World, now: Time) -> Vec<PlannedIssuer> {
     let rows = world.ledger.issuers();
     rows.into_iter()
         .map(|(id, issuer)| PlannedIssuer {
             id,
             held: issuer.held(),
             target: 0,
-            recall: 0,
-            told_recall: issuer.demand.recall.max(issuer.recall),
+            recall: Recall::default(),
+            told_recall: told_recall(issuer),
+            recent: now.since(issuer.granted) < world.policy.grant_interval,
+            fast_wanted: 0,
+            holdings: holdings_of(issuer),
             avoid: issuer
                 .demand
                 .avoid
@@ -123,6 +159,23 @@
         .collect()
 }
 
+/// Returns what an issuer was last asked to give back and has not given back yet.
+const fn told_recall(issuer: &Issuer) -> Recall {
+    if issuer.recall.slots > 0 {
+        issuer.recall
+    } else {
+        issuer.demand.recall
+    }
+}
+
+fn holdings_of(issuer: &Issuer) -> FastMap<ExecutorId, u32> {
+    let mut holdings = FastMap::default();
+    for holding in issuer.holdings() {
+        *holdings.entry(holding.executor).or_insert(0) += u32::from(holding.slots);
+    }
+    holdings
+}
+
 /// Tells whether starts can reach an executor, as far as this process can see.
 fn is_reachable(world: &World, now: Time, executor: ExecutorId) -> bool {
     let Some(data_centre) = world.executors.data_centre(executor) else {
@@ -201,14 +254,21 @@
     free
 }
 
-fn planned_claims(world: &World) -> Vec<PlannedClaim> {
+fn planned_claims(world: &World, now: Time) -> Vec<PlannedClaim> {
     let mut claims = Vec::new();
     for (position, (_, issuer)) in world.ledger.issuers().into_iter().enumerate() {
         let rows = issuer.demand.claims.iter();
-        claims.extend(rows.map(|&claim| PlannedClaim {
-            issuer: position,
-            claim,
-            target: 0,
+        let age = now.since(issuer.demanded);
+        claims.extend(rows.map(|&claim| {
+            let claim = Claim {
+                waited: claim.waited + age,
+                ..claim
+            };
+            PlannedClaim {
+                issuer: position,
+                claim,
+                target: 0,
+            }
         }));
     }
     claims.sort_by_key(|planned| (planned.claim.rank, planned.issuer));
@@ -305,30 +365,69 @@
 }
 
 /// Grants free slots to the issuers of the claims that have fewer than the plan gives them.
-fn grant_free(
-    claims: &[PlannedClaim],
-    issuers: &mut [PlannedIssuer],
-    free: &mut Vec<FreeSlots>,
+#[derive(Debug)]
+struct Granting<'a> {
+    free: &'a mut Vec<FreeSlots>,
     top_speed: f64,
-) {
-    for planned in claims {
-        let waiting = planned.target.saturating_sub(planned.claim.running);
-        let issuer = &mut issuers[planned.issuer];
-        let mut missing = issuer.target.saturating_sub(issuer.held).min(waiting);
-        for class in 0..SPEED_CLASSES {
-            let width = u32::from(planned.claim.width.max(1));
-            let mut slots = planned.claim.needs.0[class].min(missing);
-            while slots > 0 {
-                let speed = SpeedNeeds::fraction_of(class) * top_speed;
-                let Some(position) = choose_free(free, issuer, speed, width) else {
-                    reserve(free, width);
+    /// Mean time that claims on the fastest slots waited for them.
+    patience: Duration,
+    /// Slots by speed class for which claims wait although the plan has them.
+    lacking: SpeedNeeds,
+    /// Whether slots are kept back to be granted with later ones in one message.
+    deferred: bool,
+}
+
+impl Granting<'_> {
+    fn run(&mut self, claims: &[PlannedClaim], issuers: &mut [PlannedIssuer]) {
+        for planned in claims {
+            let waiting = planned.target.saturating_sub(planned.claim.running);
+            let issuer = &mut issuers[planned.issuer];
+            let mut missing = issuer.target.saturating_sub(issuer.held).min(waiting);
+            for class in 0..SPEED_CLASSES {
+                let wanted = planned.claim.needs.0[class].min(missing);
+                if wanted > 0 && issuer.recent && class >= URGENT_CLASSES {
+                    self.deferred = true;
                     break;
-                };
-                let granted = take(free, issuer, position, width);
-                slots = slots.saturating_sub(granted);
+                }
+                let granted = self.grant_class(planned, class, wanted, issuer);
                 missing = missing.saturating_sub(granted);
+                self.lacking.0[class] += wanted.saturating_sub(granted);
+            }
+        }
+    }
+
+    /// Grants up to `wanted` slots for tasks of one speed class and returns how many it granted.
+    fn grant_class(
+        &mut self,
+        planned: &PlannedClaim,
+        class: usize,
+        wanted: u32,
+        issuer: &mut PlannedIssuer,
+    ) -> u32 {
+        let width = u32::from(planned.claim.width.max(1));
+        let speed = SpeedNeeds::fraction_of(class) * self.top_speed;
+        let mut granted = 0;
+        while granted < wanted {
+            let Some(position) = choose_free(self.free, issuer, speed, width) else {
+                reserve(self.free, width);
+                break;
+            };
+            let found = self.free[position].speed;
+            if found < speed && !planned.claim.accepts(class, found, self.patience) {
+                break;
+            }
+            if class == 0 && granted == 0 {
+                self.note_wait(planned.claim.waited);
             }
+            granted += take(self.free, issuer, position, width);
         }
+        granted
+    }
+
+    fn note_wait(&mut self, waited: Duration) {
+        let mean = self.patience.as_secs_f64();
+        let next = mean + PATIENCE_GAIN * (waited.as_secs_f64() - mean);
+        self.patience = Duration::from_secs_f64(next.max(0.0));
     }
 }
 
@@ -378,16 +477,49 @@
     }
 }
 
-/// Asks issuers with more than the plan gives them for as much as others lack.
-fn plan_recalls(issuers: &mut [PlannedIssuer]) {
-    let lacking = issuers
+/// Asks issuers for slots that others lack: first for fast ones that tasks wait for, then for as
+/// many as an issuer has more than the plan gives it.
+fn plan_recalls(world: &World, issuers: &mut [PlannedIssuer], lacking: &SpeedNeeds) {
+    let short = issuers
         .iter()
         .map(|issuer| issuer.target.saturating_sub(issuer.held));
-    let mut shortage: u32 = lacking.sum();
+    let mut shortage: u32 = short.sum();
     for issuer in issuers.iter_mut() {
         let surplus = issuer.held.saturating_sub(issuer.target);
-        issuer.recall = surplus.min(shortage);
-        shortage -= issuer.recall;
+        issuer.recall = Recall {
+            slots: surplus.min(shortage),
+            min_speed_milli: 0,
+        };
+        shortage -= issuer.recall.slots;
+    }
+    for class in (0..SPEED_CLASSES - 1).rev() {
+        let min_speed = SpeedNeeds::fraction_of(class) * top_speed(world);
+        recall_fast(world, issuers, lacking.0[class], min_speed);
+    }
+}
+
+fn recall_fast(world: &World, issuers: &mut [PlannedIssuer], mut lacking: u32, min_speed: f64) {
+    let is_fast = |executor: &ExecutorId| {
+        world
+            .executors
+            .get(*executor)
+            .is_some_and(|row| row.speed() >= min_speed)
+    };
+    for issuer in issuers.iter_mut() {
+        let rows = issuer
+            .holdings
+            .iter()
+            .filter(|(executor, _)| is_fast(executor));
+        let held: u32 = rows.map(|(_, slots)| *slots).sum();
+        let slots = held.saturating_sub(issuer.fast_wanted).min(lacking);
+        if slots > 0 {
+            lacking -= slots;
+            let min_speed_milli = (min_speed * 1_000.0) as u32;
+            issuer.recall = Recall {
+                slots,
+                min_speed_milli,
+            };
+        }
     }
 }
 
@@ -411,7 +543,7 @@
         world.owner.told_wait = wait;
     }
     for issuer in issuers {
-        let recall_changed = issuer.recall != issuer.told_recall;
+        let recall_changed = issuer.recall.slots > issuer.told_recall.slots && !issuer.recent;
         if !issuer.grants.is_empty() || recall_changed || wait_changed {
             send_grant(world, cx, issuer, wait);
         }
@@ -436,6 +568,7 @@
         slots,
         recall: issuer.recall,
         expected_wait: wait,
+        patience: world.owner.patience,
     };
     cx.send(world, issuer.id, Message::Grant(grant));
 }
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -43,7 +43,7 @@
     }
     if world.members.is_connected(req.id.issuer) {
         let issuer = req.id.issuer;
-        forward(world, cx, caller, req, vec![issuer], false);
+        forward(world, cx, caller, req, vec![issuer], Vec::new());
         return;
     }
     search(world, cx, caller, req);
@@ -78,12 +78,12 @@
         asked = world.members.connected();
     }
     if asked.is_empty() {
-        conclude_search(world, cx, caller, req.id);
+        conclude_search(world, cx, caller, req.id, &[]);
         return;
     }
     req.verb = JobVerb::Fetch;
     req.wait = Duration::ZERO;
-    forward(world, cx, caller, req, asked, true);
+    forward(world, cx, caller, req, asked.clone(), asked);
 }
 
 fn forward(
@@ -92,14 +92,14 @@
     caller: Caller,
     req: JobRequest,
     asked: Vec<Incarnation>,
-    search: bool,
+    searched: Vec<Incarnation>,
 ) {
     let timeout = req.wait + world.policy.forward_grace;
     let entry = Forward {
         caller,
         id: req.id,
         asked: asked.clone(),
-        search,
+        searched,
     };
     let number = world.forwards.insert(entry);
     world.counters.forwards += 1;
@@ -154,7 +154,7 @@
         return;
     }
     forward.asked.retain(|&peer| peer != from);
-    let (search, outstanding) = (forward.search, !forward.asked.is_empty());
+    let (search, outstanding) = (!forward.searched.is_empty(), !forward.asked.is_empty());
     if search && is_ignorant(&response) {
         if !outstanding {
             finish_search(world, cx, number);
@@ -175,13 +175,19 @@
 
 fn finish_search(world: &mut World, cx: &mut Cx<'_>, number: u64) {
     if let Some(forward) = world.forwards.take(number) {
-        conclude_search(world, cx, forward.caller, forward.id);
+        conclude_search(world, cx, forward.caller, forward.id, &forward.searched);
     }
 }
 
 /// Answers for an issuer whose archive nobody holds.
-fn conclude_search(world: &mut World, cx: &mut Cx<'_>, caller: Caller, id: JobId) {
-    if is_gone(world, cx, id.issuer) {
+fn conclude_search(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    caller: Caller,
+    id: JobId,
+    searched: &[Incarnation],
+) {
+    if is_gone(world, cx, id.issuer, searched) {
         let outcome = Outcome::failed(FailureReason::IssuerLost, Ran::MayHaveRun);
         respond(world, cx, caller, Response::Answer { id, outcome });
         return;
@@ -192,8 +198,9 @@
 /// Tells whether an incarnation is gone for good and nobody answers for it.
 ///
 /// It is gone if another one runs on its VM, or if its VM has long left the list. Someone may hold
-/// its archive unless every live entry VM of the list is connected and was asked.
-fn is_gone(world: &World, cx: &Cx<'_>, issuer: Incarnation) -> bool {
+/// its archive unless every other entry VM of the list was asked. That a VM connected meanwhile
+/// does not count: it may be the one that holds the archive.
+fn is_gone(world: &World, cx: &Cx<'_>, issuer: Incarnation, searched: &[Incarnation]) -> bool {
     let Some(list) = &world.vm_list else {
         return false;
     };
@@ -202,11 +209,10 @@
         .get(&issuer.vm)
         .is_some_and(|&since| cx.now.since(since) >= world.policy.delisted_after);
     let superseded = issuer.vm == world.me.vm || world.members.is_superseded(issuer);
-    let others = list
-        .entries
-        .iter()
-        .filter(|vm| vm.id != world.me.vm && vm.id != issuer.vm);
-    let all_asked = others.into_iter().all(|vm| world.members.has_vm(vm.id));
+    let others = list.entries.iter().filter(|vm| vm.id != world.me.vm);
+    let all_asked = others
+        .into_iter()
+        .all(|vm| searched.iter().any(|peer| peer.vm == vm.id));
     (delisted || superseded) && all_asked
 }
 
--- a/crates/core/src/systems/starts.rs
+++ b/crates/core/src/systems/starts.rs
@@ -16,7 +16,7 @@
     let Some(attempt) = world.attempts.take(id) else {
         return;
     };
-    free_slots(world, &attempt);
+    free_slots(world, cx.now, &attempt);
     match reply {
         StartReply::Done { result, slot_time } => {
             done(world, cx, id, &attempt, result, slot_time);
@@ -35,9 +35,9 @@
     ended(world, cx, id, StartReply::Lost);
 }
 
-fn free_slots(world: &mut World, attempt: &Attempt) {
+fn free_slots(world: &mut World, now: Time, attempt: &Attempt) {
     if let Some(row) = world.executors.get_mut(attempt.executor) {
-        row.in_use = row.in_use.saturating_sub(attempt.slots);
+        row.vacate(attempt.slots, now);
     }
     if let Some(running) = world.running_slots.get_mut(&attempt.customer) {
         *running = running.saturating_sub(u32::from(attempt.slots));
@@ -70,10 +70,13 @@
     };
     row.note_success();
     let speed = row.speed();
-    row.learn_speed(attempt.estimate.div_f64(speed), observed);
+    if world.estimator.knows(&attempt.kind) {
+        row.learn_speed(attempt.estimate.div_f64(speed), observed);
+    }
+    let scaled = observed.mul_f64(speed);
     world
         .estimator
-        .learn(&attempt.kind, attempt.declared, observed.mul_f64(speed));
+        .learn(&attempt.kind, attempt.declared, attempt.bias, scaled);
 }
 
 fn failed(
--- a/crates/core/src/systems/upkeep.rs
+++ b/crates/core/src/systems/upkeep.rs
@@ -21,6 +21,8 @@
             membership::beat(world, cx);
             cx.subscribe(world, world.policy.heartbeat_interval, Timer::Heartbeat);
         }
+        Timer::DispatchRetry => world.issuer.retrying = false,
+        Timer::LingerCheck => world.issuer.lingering = false,
         Timer::DemandDue => world.issuer.scheduled = false,
         Timer::DemandRefresh => {
             demand::refresh(world, cx);
--- a/crates/core/src/tables/attempt_table.rs
+++ b/crates/core/src/tables/attempt_table.rs
@@ -21,6 +21,8 @@
     pub kind: Arc<str>,
     /// Run time that the caller declared.
     pub declared: Duration,
+    /// Bias of the job's declared run times.
+    pub bias: f64,
     /// Estimated run time on an executor of speed 1.
     pub estimate: Duration,
     /// Slots that it occupies.
--- a/crates/core/src/tables/executor_table.rs
+++ b/crates/core/src/tables/executor_table.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 /// Weight of a new observation of an executor's speed.
-const SPEED_GAIN: f64 = 0.1;
+const SPEED_GAIN: f64 = 0.02;
 /// Bounds of the learned correction of the declared speed.
 const CORRECTION_RANGE: (f64, f64) = (0.05, 20.0);
 /// Divisor of the declared speed, which is in thousandths.
 const MILLI: f64 = 1_000.0;
+/// The fastest one of this many slots sets the top speed.
+const TOP_SHARE: u32 = 20;
 /// Largest exponent of the doubling of ejection times.
 const MAX_EJECTION_DOUBLINGS: u32 = 10;
 
@@ -51,6 +53,10 @@
     pub held: u16,
     /// Slots in use by this issuer.
     pub in_use: u16,
+    /// Idle slots that were not used since they were granted.
+    pub fresh: u16,
+    /// When slots of it were granted or became idle last.
+    pub idle_since: Time,
     /// Learned factor on the declared speed.
     correction: f64,
 }
@@ -67,6 +73,8 @@
             ejections: 0,
             held: 0,
             in_use: 0,
+            fresh: 0,
+            idle_since: Time::ZERO,
             correction: 1.0,
         }
     }
@@ -77,6 +85,17 @@
         f64::from(self.vm.speed_milli.max(1)) / MILLI * self.correction
     }
 
+    /// Returns the speed relative to the reference machine, in thousandths.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the speed is positive and bounded"
+    )]
+    pub fn speed_milli(&self) -> u32 {
+        (self.speed() * MILLI).round() as u32
+    }
+
     /// Tells whether the executor may get new work at all.
     #[must_use]
     pub fn accepts_work(&self, now: Time) -> bool {
@@ -100,6 +119,41 @@
         self.held.saturating_sub(self.in_use)
     }
 
+    /// Takes in granted slots.
+    pub fn add_granted(&mut self, slots: u16, now: Time) {
+        self.idle_since = now;
+        let held = self.held.saturating_add(slots).min(self.vm.slots);
+        self.fresh += held - self.held.min(held);
+        self.held = held;
+    }
+
+    /// Occupies idle slots.
+    pub const fn occupy(&mut self, slots: u16) {
+        self.in_use += slots;
+        self.fresh = self.fresh.saturating_sub(slots);
+    }
+
+    /// Frees slots of an ended attempt.
+    pub const fn vacate(&mut self, slots: u16, now: Time) {
+        self.in_use = self.in_use.saturating_sub(slots);
+        self.idle_since = now;
+    }
+
+    /// Tells whether idle slots have been idle for `linger`.
+    #[must_use]
+    pub fn lingers(&self, now: Time, linger: Duration) -> bool {
+        self.idle() > 0 && now.since(self.idle_since) >= linger
+    }
+
+    /// Gives up idle slots and returns how many of them were never used.
+    pub fn release_idle(&mut self, slots: u16) -> u16 {
+        let slots = slots.min(self.idle());
+        let unused = self.fresh.min(slots);
+        self.held -= slots;
+        self.fresh -= unused;
+        unused
+    }
+
     /// Learns from a run that was expected to take `expected` here and took `observed`.
     pub fn learn_speed(&mut self, expected: Duration, observed: Duration) {
         if expected.is_zero() || observed.is_zero() {
@@ -152,6 +206,7 @@
 pub struct ExecutorTable {
     rows: FastMap<ExecutorId, Executor>,
     order: Vec<ExecutorId>,
+    top_speed: f64,
 }
 
 impl ExecutorTable {
@@ -182,6 +237,7 @@
         self.rows.retain(|_, row| row.listed || row.in_use > 0);
         self.order = self.rows.keys().copied().collect();
         self.order.sort_unstable();
+        self.update_top_speed();
     }
 
     /// Returns an executor.
@@ -216,11 +272,28 @@
         rows.map(|row| row.vm.slots).max().unwrap_or(0)
     }
 
-    /// Returns the highest speed of a listed executor.
+    /// Returns the speed that the fastest twentieth of all listed slots reach. Learned speeds are
+    /// noisy, so the highest alone would be too high.
     #[must_use]
-    pub fn top_speed(&self) -> f64 {
+    pub const fn top_speed(&self) -> f64 {
+        self.top_speed
+    }
+
+    /// Brings [`ExecutorTable::top_speed`] up to date.
+    pub fn update_top_speed(&mut self) {
         let rows = self.rows.values().filter(|row| row.listed);
-        rows.map(Executor::speed).fold(0.0, f64::max)
+        let mut speeds: Vec<_> = rows.map(|row| (row.speed(), row.vm.slots)).collect();
+        speeds.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let total: u32 = speeds.iter().map(|(_, slots)| u32::from(*slots)).sum();
+        let mut left = total / TOP_SHARE;
+        for (speed, slots) in speeds {
+            self.top_speed = speed;
+            let slots = u32::from(slots);
+            if slots > left {
+                return;
+            }
+            left -= slots;
+        }
     }
 
     /// Returns the data centre of an executor.
--- a/crates/core/src/tables/forward_table.rs
+++ b/crates/core/src/tables/forward_table.rs
@@ -14,8 +14,9 @@
     pub id: JobId,
     /// Peers that have not responded.
     pub asked: Vec<Incarnation>,
-    /// Whether the peers were asked only whether they hold the archive of the issuer.
-    pub search: bool,
+    /// The peers that were asked whether they hold the archive of the issuer; empty if the issuer
+    /// itself was asked.
+    pub searched: Vec<Incarnation>,
 }
 
 /// Forwarded requests by number.
--- a/crates/core/src/tables/job.rs
+++ b/crates/core/src/tables/job.rs
@@ -5,6 +5,7 @@
 use crate::model::request::Caller;
 use crate::model::spec::{JobSpec, Repeatability, TaskSpec};
 use crate::model::time::Time;
+use crate::tables::estimator::JobEstimate;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,17 @@
     Done(Arc<str>),
 }
 
+/// A waiting task.
+#[derive(Clone, Copy, Debug)]
+pub struct QueuedTask<'a> {
+    /// Position in the job.
+    pub index: u32,
+    /// The task.
+    pub spec: &'a TaskSpec,
+    /// Estimated run time on an executor of speed 1.
+    pub estimate: Duration,
+}
+
 /// An open job.
 ///
 /// Invariants: `queue` holds exactly the indices of the waiting tasks, the longest last;
@@ -36,6 +48,8 @@
     pub tasks: Vec<TaskState>,
     /// Estimated run time per task on an executor of speed 1.
     pub estimates: Vec<Duration>,
+    /// Bias of the declared run times; see [`JobEstimate`].
+    pub bias: f64,
     /// Starts per task that may have taken place.
     pub starts: Vec<u8>,
     /// Waiting tasks, the longest last.
@@ -54,6 +68,8 @@
     pub arrived: Time,
     /// Time after which the answer is of no use.
     pub deadline: Option<Time>,
+    /// When the longest waiting task was started last, or the job arrived.
+    pub served: Time,
     /// When the running tasks are expected to have ended.
     pub expected_end: Time,
     /// Who waits for the answer.
@@ -67,9 +83,13 @@
         id: JobId,
         customer: CustomerId,
         spec: JobSpec,
-        estimates: Vec<Duration>,
+        estimate: JobEstimate,
         now: Time,
     ) -> Self {
+        let JobEstimate {
+            tasks: estimates,
+            bias,
+        } = estimate;
         let count = spec.tasks.len();
         let mut queue: Vec<u32> = (0..).take(count).collect();
         queue.sort_by_key(|&i| (estimates[i as usize], std::cmp::Reverse(i)));
@@ -85,35 +105,50 @@
             done: 0,
             remaining: estimates.iter().sum(),
             estimates,
+            bias,
             arrived: now,
             deadline: spec.deadline.map(|span| now + span),
+            served: now,
             expected_end: now,
             spec,
             waiters: Vec::new(),
         }
     }
 
-    /// Returns the longest waiting task.
+    /// Returns the waiting task at a position of the queue.
     #[must_use]
-    pub fn next_task(&self) -> Option<(u32, &TaskSpec, Duration)> {
-        let index = *self.queue.last()?;
+    pub fn queued(&self, position: usize) -> Option<QueuedTask<'_>> {
+        let index = *self.queue.get(position)?;
         let i = index as usize;
-        Some((index, &self.spec.tasks[i], self.estimates[i]))
+        Some(QueuedTask {
+            index,
+            spec: &self.spec.tasks[i],
+            estimate: self.estimates[i],
+        })
     }
 
-    /// Marks the longest waiting task as started under `attempt`.
-    ///
-    /// # Panics
-    ///
-    /// Panics if no task waits.
-    pub fn start_next(&mut self, attempt: AttemptId) {
-        let index = self.queue.pop().expect("a task waits") as usize;
+    /// Returns the estimate of the longest waiting task, or zero if none waits.
+    #[must_use]
+    pub fn longest_waiting(&self) -> Duration {
+        self.queue
+            .last()
+            .map(|&index| self.estimates[index as usize])
+            .unwrap_or_default()
+    }
+
+    /// Marks the waiting task at a position of the queue as started under `attempt`.
+    pub fn start_queued(&mut self, position: usize, attempt: AttemptId, now: Time) {
+        let is_longest = position + 1 == self.queue.len();
+        let index = self.queue.remove(position) as usize;
         let slots = u32::from(self.spec.tasks[index].slots);
         self.tasks[index] = TaskState::Running(attempt);
         self.starts[index] = self.starts[index].saturating_add(1);
         self.running += 1;
         self.running_slots += slots;
         self.waiting_slots -= slots;
+        if is_longest {
+            self.served = now;
+        }
     }
 
     /// Tells whether the task at `index` runs under `attempt`.
--- a/crates/core/src/tables/ledger.rs
+++ b/crates/core/src/tables/ledger.rs
@@ -3,7 +3,7 @@
 use crate::collections::FastMap;
 use crate::model::ids::ExecutorId;
 use crate::model::incarnation::Incarnation;
-use crate::model::message::{Demand, Holding};
+use crate::model::message::{Demand, Holding, Recall};
 use crate::model::time::Time;
 use std::time::Duration;
 
@@ -20,8 +20,12 @@
 pub struct Issuer {
     /// Its latest demand.
     pub demand: Demand,
+    /// When that was taken in.
+    pub demanded: Time,
     /// Slots that it was last asked to give back.
-    pub recall: u32,
+    pub recall: Recall,
+    /// When a grant was sent to it last.
+    pub granted: Time,
     grant_seq: u64,
     outstanding: Vec<Outstanding>,
 }
@@ -44,6 +48,7 @@
     /// Records a grant and returns its position in the sequence.
     pub fn record_grant(&mut self, slots: &[Holding], now: Time) -> u64 {
         self.grant_seq += 1;
+        self.granted = now;
         if !slots.is_empty() {
             let seq = self.grant_seq;
             self.outstanding.push(Outstanding {
@@ -55,14 +60,15 @@
         self.grant_seq
     }
 
-    fn take_demand(&mut self, demand: Demand) {
+    fn take_demand(&mut self, demand: Demand, now: Time) {
         if demand.seq <= self.demand.seq {
             return;
         }
         self.outstanding
             .retain(|grant| grant.seq > demand.grant_seq);
         self.demand = demand;
-        self.recall = 0;
+        self.demanded = now;
+        self.recall = Recall::default();
     }
 }
 
@@ -74,15 +80,17 @@
 
 impl Ledger {
     /// Takes in a demand; an older one than the last is ignored.
-    pub fn take_demand(&mut self, from: Incarnation, demand: Demand) {
+    pub fn take_demand(&mut self, from: Incarnation, demand: Demand, now: Time) {
         if let Some(issuer) = self.issuers.get_mut(&from) {
-            issuer.take_demand(demand);
+            issuer.take_demand(demand, now);
             return;
         }
         let grant_seq = demand.grant_seq;
         let row = Issuer {
             demand,
-            recall: 0,
+            demanded: now,
+            recall: Recall::default(),
+            granted: Time::ZERO,
             grant_seq,
             outstanding: Vec::new(),
         };
--- a/crates/core/src/tables/member_table.rs
+++ b/crates/core/src/tables/member_table.rs
@@ -91,12 +91,6 @@
         self.rows.get(&peer)
     }
 
-    /// Tells whether a VM has a connected incarnation.
-    #[must_use]
-    pub fn has_vm(&self, vm: VmId) -> bool {
-        self.rows.keys().any(|peer| peer.vm == vm)
-    }
-
     /// Returns the peers heard of within `silence` that take work.
     pub fn live(&self, now: Time, silence: Duration) -> impl Iterator<Item = (Incarnation, u32)> {
         self.present(now, silence)
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -22,6 +22,10 @@
     Heartbeat,
     /// Time to send a demand that was held back.
     DemandDue,
+    /// Time to look again at tasks that wait for a faster slot.
+    DispatchRetry,
+    /// Time to give back slots that stayed idle.
+    LingerCheck,
     /// Time to plan grants.
     PlanDue,
     /// Time to repeat the demand.
--- a/crates/core/src/world.rs
+++ b/crates/core/src/world.rs
@@ -6,7 +6,7 @@
 use crate::model::ids::{CustomerId, VmId};
 use crate::model::incarnation::Incarnation;
 use crate::model::job_id::IdKey;
-use crate::model::message::Message;
+use crate::model::message::{Message, Recall};
 use crate::model::time::Time;
 use crate::model::vm_list::VmList;
 use crate::policy::Policy;
@@ -42,14 +42,18 @@
     pub wants: bool,
     /// Whether something else changed that the owner should know.
     pub changed: bool,
+    /// Whether a timer for tasks that wait for a faster slot is subscribed.
+    pub retrying: bool,
     /// Whether a timer for a demand is subscribed.
     pub scheduled: bool,
     /// Slots that the owner wants back.
-    pub recall: u32,
-    /// Since when slots are idle while no task waits.
-    pub idle_since: Option<Time>,
+    pub recall: Recall,
+    /// Whether a timer for slots that stay idle is subscribed.
+    pub lingering: bool,
     /// Expected time until newly submitted work starts.
     pub expected_wait: Duration,
+    /// Expected time until a task that needs one of the fastest slots gets it.
+    pub patience: Duration,
 }
 
 /// What this process does as the slot owner.
@@ -59,6 +63,8 @@
     pub since: Option<Time>,
     /// Whether a timer for the plan is subscribed.
     pub scheduled: bool,
+    /// Mean time that claims on the fastest slots waited for them.
+    pub patience: Duration,
     /// Expected wait as it was last told to all issuers.
     pub told_wait: Duration,
 }
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -9,7 +9,7 @@
 use cardamomslip_core::model::job_id::{IdKey, JobId};
 use cardamomslip_core::model::message::{
     ArchivedOutcome, Avoid, AvoidCause, Claim, Demand, Grant, Handover, Heartbeat, Holding,
-    Message, SPEED_CLASSES, SpeedNeeds,
+    Message, Recall, SPEED_CLASSES, SpeedNeeds,
 };
 use cardamomslip_core::model::outcome::{FailureReason, Outcome, Ran, Refusal, RefusalReason};
 use cardamomslip_core::model::request::{JobRequest, JobVerb, Response};
@@ -143,10 +143,14 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct HoldingWire(u64, u16);
 
-/// Customer, rank, running slots, needed slots by speed class, width, work and longest task in
-/// microseconds.
+/// Customer, rank, running slots, needed slots by speed class, width, and in microseconds: work,
+/// longest task, horizon and time waited.
 #[derive(Debug, Serialize, Deserialize)]
-struct ClaimWire(u64, u64, u32, [u32; SPEED_CLASSES], u16, u64, u64);
+struct ClaimWire(u64, u64, u32, [u32; SPEED_CLASSES], u16, u64, u64, u64, u64);
+
+/// Slots and lowest speed in thousandths.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct RecallWire(u32, u32);
 
 /// Sequence, grant sequence, holdings, claims, recall, and avoided executors with their cause.
 #[derive(Debug, Serialize, Deserialize)]
@@ -155,13 +159,13 @@
     u64,
     Vec<HoldingWire>,
     Vec<ClaimWire>,
-    u32,
+    RecallWire,
     Vec<(u64, u8)>,
 );
 
-/// Sequence, slots, recall and expected wait in microseconds.
+/// Sequence, slots, recall, and in microseconds expected wait and patience.
 #[derive(Debug, Serialize, Deserialize)]
-struct GrantWire(u64, Vec<HoldingWire>, u32, u64);
+struct GrantWire(u64, Vec<HoldingWire>, RecallWire, u64, u64);
 
 /// Counter, customer and outcome.
 #[derive(Debug, Serialize, Deserialize)]
@@ -438,6 +442,21 @@
     }
 }
 
+impl From<Recall> for RecallWire {
+    fn from(recall: Recall) -> Self {
+        Self(recall.slots, recall.min_speed_milli)
+    }
+}
+
+impl From<RecallWire> for Recall {
+    fn from(RecallWire(slots, min_speed_milli): RecallWire) -> Self {
+        Self {
+            slots,
+            min_speed_milli,
+        }
+    }
+}
+
 impl From<&Claim> for ClaimWire {
     fn from(claim: &Claim) -> Self {
         Self(
@@ -448,12 +467,15 @@
             claim.width,
             micros(claim.work),
             micros(claim.longest),
+            micros(claim.horizon),
+            micros(claim.waited),
         )
     }
 }
 
 impl From<ClaimWire> for Claim {
-    fn from(ClaimWire(customer, rank, running, needs, width, work, longest): ClaimWire) -> Self {
+    fn from(wire: ClaimWire) -> Self {
+        let ClaimWire(customer, rank, running, needs, width, work, longest, horizon, waited) = wire;
         Self {
             customer: CustomerId(customer),
             rank,
@@ -462,6 +484,8 @@
             width,
             work: span(work),
             longest: span(longest),
+            horizon: span(horizon),
+            waited: span(waited),
         }
     }
 }
@@ -477,7 +501,7 @@
             demand.grant_seq,
             demand.holdings.iter().map(HoldingWire::from).collect(),
             demand.claims.iter().map(ClaimWire::from).collect(),
-            demand.recall,
+            demand.recall.into(),
             avoid.collect(),
         )
     }
@@ -502,7 +526,7 @@
             grant_seq,
             holdings: holdings.into_iter().map(Holding::from).collect(),
             claims: claims.into_iter().map(Claim::from).collect(),
-            recall,
+            recall: recall.into(),
             avoid: avoid?,
         })
     }
@@ -511,18 +535,25 @@
 impl From<&Grant> for GrantWire {
     fn from(grant: &Grant) -> Self {
         let slots = grant.slots.iter().map(HoldingWire::from).collect();
-        Self(grant.seq, slots, grant.recall, micros(grant.expected_wait))
+        Self(
+            grant.seq,
+            slots,
+            grant.recall.into(),
+            micros(grant.expected_wait),
+            micros(grant.patience),
+        )
     }
 }
 
 impl From<GrantWire> for Grant {
-    fn from(GrantWire(seq, slots, recall, wait): GrantWire) -> Self {
+    fn from(GrantWire(seq, slots, recall, wait, patience): GrantWire) -> Self {
         let slots = slots.into_iter().map(Holding::from).collect();
         Self {
             seq,
             slots,
-            recall,
+            recall: recall.into(),
             expected_wait: span(wait),
+            patience: span(patience),
         }
     }
 }
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -9,7 +9,7 @@
 use cardamomslip_core::model::job_id::{IdKey, JobId};
 use cardamomslip_core::model::message::{
     ArchivedOutcome, Avoid, AvoidCause, Claim, Demand, Grant, Handover, Heartbeat, Holding,
-    Message, SpeedNeeds,
+    Message, Recall, SpeedNeeds,
 };
 use cardamomslip_core::model::outcome::{FailureReason, Outcome, Ran, Refusal, RefusalReason};
 use cardamomslip_core::model::request::{JobRequest, JobVerb, Response};
@@ -111,10 +111,12 @@
         customer: CustomerId(1),
         rank: u64::MAX,
         running: 3,
-        needs: SpeedNeeds([1, 2, 3, 4]),
+        needs: SpeedNeeds([1, 2, 3, 4, 5, 6, 7, 8]),
         width: 2,
         work: Duration::from_secs(9),
         longest: Duration::from_secs(1),
+        horizon: Duration::from_secs(2),
+        waited: Duration::from_millis(3),
     };
     Demand {
         seq: 1,
@@ -124,7 +126,10 @@
             slots: 3,
         }],
         claims: vec![claim],
-        recall: 4,
+        recall: Recall {
+            slots: 4,
+            min_speed_milli: 5,
+        },
         avoid: vec![Avoid {
             executor: ExecutorId(8),
             cause: AvoidCause::Probation,
@@ -170,8 +175,12 @@
             executor: ExecutorId(1),
             slots: 2,
         }],
-        recall: 3,
+        recall: Recall {
+            slots: 3,
+            min_speed_milli: 0,
+        },
         expected_wait: Duration::from_millis(4),
+        patience: Duration::from_millis(5),
     };
     vec![
         Message::Heartbeat(beat),
