--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -23,6 +23,8 @@
 const WAIT: Duration = Duration::from_secs(3_600);
 /// Interval at which shares of customers are sampled.
 const SAMPLE: Duration = Duration::from_millis(50);
+/// Expected wait beyond which new work is refused, in milliseconds.
+const MAX_WAIT_MS: u32 = 3_000;
 /// Unfinished tasks that one entry VM holds at most.
 const MAX_OPEN_TASKS: u32 = 200_000;
 
@@ -180,6 +182,7 @@
         name: "ordinary".into(),
         admits_work: true,
         max_open_tasks: MAX_OPEN_TASKS,
+        max_wait_ms: MAX_WAIT_MS,
     };
     let change = Change::Replace {
         preset: "ordinary".into(),
--- a/crates/core/src/model/configuration.rs
+++ b/crates/core/src/model/configuration.rs
@@ -32,6 +32,8 @@
     pub admits_work: bool,
     /// Unfinished tasks that one entry VM holds at most.
     pub max_open_tasks: u32,
+    /// Expected wait, in milliseconds, beyond which new work is refused.
+    pub max_wait_ms: u32,
 }
 
 /// Who changed the configuration, when and why.
--- a/crates/core/src/systems/jobs.rs
+++ b/crates/core/src/systems/jobs.rs
@@ -17,6 +17,8 @@
 use crate::world::{Cx, World};
 use std::time::Duration;
 
+/// Factor by which a job may take longer than expected.
+const DEADLINE_MARGIN: f64 = 1.5;
 /// Time after which a refused waiter may ask again.
 const RETRY_WAIT: Duration = Duration::from_secs(1);
 
@@ -143,6 +145,10 @@
     if world.open_tasks + count > config.preset_in_force().max_open_tasks as usize {
         return Err(FailureReason::Overloaded);
     }
+    let wait = world.issuer.expected_wait;
+    if wait > Duration::from_millis(u64::from(config.preset_in_force().max_wait_ms)) {
+        return Err(FailureReason::Overloaded);
+    }
     let estimate = world.estimator.estimate(&spec.tasks);
     if let Some(deadline) = spec.deadline {
         check_deadline(world, &estimate.tasks, deadline)?;
@@ -158,7 +164,8 @@
 ) -> Result<(), FailureReason> {
     let longest = estimates.iter().max().copied().unwrap_or_default();
     let alone = longest.div_f64(world.executors.top_speed().max(f64::MIN_POSITIVE));
-    if alone + world.issuer.expected_wait > deadline {
+    let expected = alone + world.issuer.expected_wait;
+    if expected.mul_f64(DEADLINE_MARGIN) > deadline {
         return Err(FailureReason::DeadlineUnreachable);
     }
     Ok(())
--- a/crates/core/tests/oracle/fleet.rs
+++ b/crates/core/tests/oracle/fleet.rs
@@ -160,6 +160,7 @@
         name: name.into(),
         admits_work,
         max_open_tasks: MAX_OPEN_TASKS,
+        max_wait_ms: 60_000,
     };
     let entry = |number: usize, weight| CustomerEntry {
         id: customer(number),
--- a/src/config_wire.rs
+++ b/src/config_wire.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// Expected wait beyond which new work is refused if a preset does not say, in milliseconds.
+const DEFAULT_MAX_WAIT_MS: u32 = 10_000;
+
 /// A customer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +35,9 @@
     pub admits_work: bool,
     /// Unfinished tasks that one entry VM holds at most.
     pub max_open_tasks: u32,
+    /// Expected wait beyond which new work is refused, in milliseconds.
+    #[serde(default = "default_max_wait_ms")]
+    pub max_wait_ms: u32,
 }
 
 /// A change in the history. Numbers that may exceed 53 bits are hexadecimal text.
@@ -68,6 +74,10 @@
     pub history: Vec<ChangeRecordWire>,
 }
 
+const fn default_max_wait_ms() -> u32 {
+    DEFAULT_MAX_WAIT_MS
+}
+
 const fn one() -> u32 {
     1
 }
@@ -114,6 +124,7 @@
             name: Arc::clone(&preset.name),
             admits_work: preset.admits_work,
             max_open_tasks: preset.max_open_tasks,
+            max_wait_ms: preset.max_wait_ms,
         }
     }
 }
@@ -124,6 +135,7 @@
             name: wire.name,
             admits_work: wire.admits_work,
             max_open_tasks: wire.max_open_tasks,
+            max_wait_ms: wire.max_wait_ms,
         }
     }
 }
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -65,6 +65,7 @@
             name: "ordinary".into(),
             admits_work: true,
             max_open_tasks: 9,
+            max_wait_ms: 8,
         }],
         customers: vec![CustomerEntry {
             id: cardamomslip::names::customer_id("karoo"),
