--- /dev/null
+++ b/crates/bench/src/faults_bench.rs
@@ -0,0 +1,101 @@
+//! What single faults cost, with and without the mechanism that is meant for them.
+
+use crate::deployment::{TOWER_DISPATCH, total_speed};
+use crate::sim::{Behaviour, Fault, Outcomes, Sim};
+use crate::workload::{Job, Load, jobs};
+use cardamomslip_core::{Policy, PolicyBuilder};
+use std::time::Duration;
+
+/// Length of a run's arrivals.
+const LENGTH: Duration = Duration::from_secs(40);
+/// Time of the fault.
+const FAULT_AT: Duration = Duration::from_secs(15);
+/// Time after which the VM list shows that an executor is leaving.
+const LIST_LAG: Duration = Duration::from_secs(3);
+/// Time after which a run is cut off.
+const LIMIT: Duration = Duration::from_secs(120);
+/// Load.
+const LOAD: f64 = 0.5;
+/// Position of the faulty executor: one of the fastest.
+const EXECUTOR: usize = 7;
+/// Position of the entry VM that dies.
+const ENTRY: usize = 3;
+/// Factor on the speed of the slow executor.
+const SLOW: f64 = 0.2;
+
+/// Prints a row a fault and mechanism as CSV.
+pub fn print_csv(seed: u64) {
+    let work = jobs(
+        Load::Steady(LOAD),
+        total_speed(&TOWER_DISPATCH.vm_list()),
+        LENGTH,
+        seed,
+    );
+    println!("fault,mechanism,measure,value");
+    let run = |policy: &Policy, faults: &[(Duration, Fault)]| {
+        let mut sim = Sim::new(TOWER_DISPATCH, policy, &work, seed);
+        for &(at, fault) in faults {
+            sim.add_fault(at, fault);
+        }
+        sim.run(LIMIT)
+    };
+    let shipped = Policy::default();
+    let becomes = |behaviour| [(FAULT_AT, Fault::Executor(EXECUTOR, behaviour))];
+
+    let no_streak = PolicyBuilder::new().failure_streak(u32::MAX).build();
+    for (name, policy) in [("ejection", &shipped), ("none", &no_streak)] {
+        let outcomes = run(policy, &becomes(Behaviour::FailAll));
+        println!(
+            "fails_all,{name},failed_tasks,{}",
+            outcomes.counts.failed_tasks
+        );
+    }
+    let no_learning = PolicyBuilder::new().speed_gain(0.0).build();
+    for (name, policy) in [("learned_speed", &shipped), ("none", &no_learning)] {
+        let outcomes = run(policy, &becomes(Behaviour::Slow(SLOW)));
+        println!(
+            "slow,{name},tasks_started_there,{}",
+            outcomes.counts.started_on_faulty
+        );
+        println!("slow,{name},mean_ratio,{:.3}", mean_ratio(&work, &outcomes));
+    }
+    let no_ejection = PolicyBuilder::new()
+        .ejection_base(Duration::ZERO)
+        .ejection_max(Duration::ZERO)
+        .build();
+    for (name, policy) in [("ejection", &shipped), ("none", &no_ejection)] {
+        let outcomes = run(policy, &becomes(Behaviour::Silent));
+        println!("silent,{name},lost_tasks,{}", outcomes.counts.silent_tasks);
+    }
+    let forgetful = PolicyBuilder::new().leaving_memory(Duration::ZERO).build();
+    for (name, policy) in [("word_of_executor", &shipped), ("none", &forgetful)] {
+        let faults = [
+            (FAULT_AT, Fault::Executor(EXECUTOR, Behaviour::Leaving)),
+            (FAULT_AT + LIST_LAG, Fault::ListLeaving(EXECUTOR)),
+        ];
+        let starts = run(policy, &faults).counts.starts_on_leaving;
+        // The work begins after two seconds in which the slot owner settles; a start may be on
+        // its way when the list arrives.
+        let bound = Duration::from_millis(2_005) + FAULT_AT + LIST_LAG;
+        let late = starts.iter().filter(|at| **at > bound).count();
+        println!("leaving,{name},starts_refused,{}", starts.len());
+        println!("leaving,{name},starts_after_3_s,{late}");
+    }
+    let outcomes = run(&shipped, &[(FAULT_AT, Fault::KillEntry(ENTRY))]);
+    let failed = outcomes.jobs.iter().filter(|job| !job.complete).count();
+    println!(
+        "entry_dies,issuer_only,jobs_without_answer,{}",
+        work.len() - outcomes.jobs.len()
+    );
+    println!("entry_dies,issuer_only,jobs_of_others_failed,{failed}");
+}
+
+/// Returns the mean ratio of the jobs that arrived after the fault.
+fn mean_ratio(work: &[Job], outcomes: &Outcomes) -> f64 {
+    let after = outcomes
+        .jobs
+        .iter()
+        .filter(|job| work[job.job].at >= FAULT_AT);
+    let ratios: Vec<f64> = after.map(|job| job.ratio).collect();
+    ratios.iter().sum::<f64>() / ratios.len().max(1) as f64
+}
--- /dev/null
+++ b/crates/bench/src/load_bench.rs
@@ -0,0 +1,260 @@
+//! Real daemons as processes under load, with stand-ins on loopback.
+
+use crate::proc_stat::ProcStat;
+use cardamomslip_cli::client::Client;
+use cardamomslip_test::cluster::{OPERATOR_TOKEN, token_hash, wait_until};
+use cardamomslip_test::{Customer, ExecutorConfig, ExecutorStandIn, PlatformStandIn};
+use eyre::{Result, WrapErr, ensure, eyre};
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Time for which the load runs.
+const LENGTH: Duration = Duration::from_secs(10);
+/// Time before the measurement.
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Executors.
+const EXECUTORS: usize = 24;
+/// Run time of a task, in milliseconds.
+const RUN_MS: u64 = 2;
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadShape {
+    /// Entry daemons.
+    pub daemons: usize,
+    /// Callers, each with one job at a time.
+    pub callers: usize,
+    /// Tasks of a job.
+    pub tasks: usize,
+}
+
+/// A daemon of the run.
+struct Vm {
+    callers: SocketAddr,
+    child: Child,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Runs one shape and prints its figures as a line of CSV.
+///
+/// # Errors
+///
+/// Returns an error if a part can't be started.
+pub fn run(shape: LoadShape) -> Result<()> {
+    let platform = PlatformStandIn::start("127.0.0.1:0")?;
+    let executors: Result<Vec<_>> = (0..EXECUTORS).map(start_executor).collect();
+    let executors = executors?;
+    let vms = start_daemons(shape.daemons, &platform, &executors)?;
+    configure(&vms[0])?;
+    wait_until("all daemons ready", || {
+        vms.iter().all(|vm| is_ready(vm, shape.daemons))
+    })?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let done = Arc::new(AtomicU64::new(0));
+    let callers: Vec<_> = (0..shape.callers)
+        .map(|i| {
+            let client = caller(&vms[i % vms.len()]);
+            let (stop, done) = (Arc::clone(&stop), Arc::clone(&done));
+            std::thread::spawn(move || call_in_a_loop(&client, shape.tasks, &stop, &done))
+        })
+        .collect();
+    std::thread::sleep(WARM_UP);
+    let before = snapshot(&vms)?;
+    let (tasks_before, calls_before) = (done.load(Ordering::Relaxed), platform.calls());
+    let begin = Instant::now();
+    std::thread::sleep(LENGTH);
+    let elapsed = begin.elapsed().as_secs_f64();
+    let after = snapshot(&vms)?;
+    let tasks = done.load(Ordering::Relaxed) - tasks_before;
+    let calls = platform.calls() - calls_before;
+    stop.store(true, Ordering::Relaxed);
+    let mut latencies = Histogram::<u64>::new(3)?;
+    for caller in callers {
+        let recorded = caller
+            .join()
+            .unwrap_or_else(|_| Err(eyre!("a caller panicked")))?;
+        latencies.add(recorded)?;
+    }
+    let cpu: f64 = after
+        .iter()
+        .zip(&before)
+        .map(|(a, b)| a.cpu_s - b.cpu_s)
+        .sum();
+    let rss = after.iter().map(|row| row.rss_mb).fold(0.0, f64::max);
+    let rate = tasks as f64 / elapsed;
+    println!(
+        "{},{},{},{rate:.0},{:.0},{:.2},{rss:.0},{:.1},{:.1},{:.1},{:.2}",
+        shape.daemons,
+        shape.callers,
+        shape.tasks,
+        tasks as f64 / cpu,
+        cpu / elapsed / shape.daemons as f64,
+        latencies.value_at_quantile(0.5) as f64 / 1_000.0,
+        latencies.value_at_quantile(0.99) as f64 / 1_000.0,
+        latencies.max() as f64 / 1_000.0,
+        calls as f64 / elapsed / shape.daemons as f64,
+    );
+    Ok(())
+}
+
+/// Prints the names of the columns.
+pub fn print_header() {
+    println!(
+        "daemons,callers,tasks_per_job,starts_per_s,starts_per_cpu_s,cores_per_daemon,max_rss_mb,\
+         job_p50_ms,job_p99_ms,job_max_ms,platform_calls_per_s_per_daemon"
+    );
+}
+
+fn start_executor(i: usize) -> Result<ExecutorStandIn> {
+    ExecutorStandIn::start(ExecutorConfig {
+        name: format!("x{i}"),
+        listen: "127.0.0.1:0".to_owned(),
+        slots: 8,
+        speed: 1.0,
+    })
+}
+
+fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+fn start_daemons(
+    count: usize,
+    platform: &PlatformStandIn,
+    executors: &[ExecutorStandIn],
+) -> Result<Vec<Vm>> {
+    let addresses: Result<Vec<_>> = (0..count)
+        .map(|_| Ok((free_address()?, free_address()?)))
+        .collect();
+    let addresses = addresses?;
+    let entries: Vec<_> = addresses
+        .iter()
+        .enumerate()
+        .map(|(i, (_, peers))| {
+            json!({"name": format!("load-{i}"), "data_centre": "metro", "peer_address": peers.to_string()})
+        })
+        .collect();
+    let listed: Vec<_> = executors
+        .iter()
+        .map(|row| row.listed("metro", "live"))
+        .collect();
+    platform.set_vm_list(json!({"revision": 1, "entries": entries, "executors": listed}));
+    let spawn = |(i, (callers, peers)): (usize, &(SocketAddr, SocketAddr))| {
+        spawn_daemon(i, *callers, *peers, platform.address())
+    };
+    addresses.iter().enumerate().map(spawn).collect()
+}
+
+fn spawn_daemon(
+    i: usize,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    platform: SocketAddr,
+) -> Result<Vm> {
+    let text = format!(
+        "name: load-{i}\n\
+         data_centre: metro\n\
+         listen: {{callers: \"{callers}\", peers: \"{peers}\"}}\n\
+         platform: \"{platform}\"\n\
+         peer_secret: a secret of the peers\n\
+         operators: [{{name: bench, token_sha256: \"{}\"}}]\n\
+         log: {{level: warn}}\n",
+        token_hash(OPERATOR_TOKEN),
+    );
+    let file =
+        std::env::temp_dir().join(format!("cardamomslip-load-{}-{i}.yaml", std::process::id()));
+    std::fs::write(&file, text)?;
+    let child = Command::new(daemon_path()?)
+        .arg("--config")
+        .arg(&file)
+        .stdin(Stdio::null())
+        .spawn()
+        .wrap_err("the daemon can't be started; build the workspace first")?;
+    Ok(Vm { callers, child })
+}
+
+/// Returns the daemon's program, which stands beside this one.
+fn daemon_path() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().ok_or_else(|| eyre!("no folder"))?;
+    Ok(folder.join("cardamomslipd"))
+}
+
+fn operator(vm: &Vm) -> Client {
+    Client::new(&vm.callers.to_string(), OPERATOR_TOKEN)
+}
+
+fn caller(vm: &Vm) -> Client {
+    Client::new(&vm.callers.to_string(), &Customer::Karoo.token())
+}
+
+fn configure(vm: &Vm) -> Result<()> {
+    let customer = Customer::Karoo;
+    let body = json!({
+        "base": 0,
+        "why": "bench",
+        "preset": "ordinary",
+        "presets": [{"name": "ordinary", "admits_work": true, "max_open_tasks": 1_000_000}],
+        "customers": [{"name": customer.name(), "token_sha256": token_hash(&customer.token())}],
+    });
+    wait_until("the configuration accepted", || {
+        operator(vm)
+            .put("/v1/operator/config", &body)
+            .is_ok_and(|answer| answer.is_success())
+    })
+}
+
+fn is_ready(vm: &Vm, daemons: usize) -> bool {
+    operator(vm).get("/v1/operator/status").is_ok_and(|status| {
+        let peers = status.body["peers"].as_array().map_or(0, Vec::len);
+        status.body["ready"] == true && peers + 1 == daemons
+    })
+}
+
+fn snapshot(vms: &[Vm]) -> Result<Vec<ProcStat>> {
+    vms.iter().map(|vm| ProcStat::read(vm.child.id())).collect()
+}
+
+fn job(tasks: usize) -> Value {
+    let task = json!({"kind": "load", "run_ms": RUN_MS, "payload": {"run_ms": RUN_MS}});
+    json!({"tasks": vec![task; tasks]})
+}
+
+/// Submits jobs one after the other and records their response times in microseconds.
+fn call_in_a_loop(
+    client: &Client,
+    tasks: usize,
+    stop: &AtomicBool,
+    done: &AtomicU64,
+) -> Result<Histogram<u64>> {
+    let mut latencies = Histogram::new(3)?;
+    let body = job(tasks);
+    while !stop.load(Ordering::Relaxed) {
+        let ids = client.post("/v1/jobs", &json!({"count": 1}), None)?;
+        let id = ids.body["ids"][0]
+            .as_str()
+            .ok_or_else(|| eyre!("no id: {}", ids.body))?;
+        let begin = Instant::now();
+        let answer = client.put(&format!("/v1/jobs/{id}?wait_ms=60000"), &body)?;
+        ensure!(
+            answer.body["status"] == "complete",
+            "a job failed: {}",
+            answer.body
+        );
+        latencies.record(u64::try_from(begin.elapsed().as_micros())?)?;
+        done.fetch_add(tasks as u64, Ordering::Relaxed);
+    }
+    Ok(latencies)
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,14 +1,19 @@
 //! Benchmarks of the dispatcher.
 
 mod deployment;
+mod faults_bench;
+mod load_bench;
 mod policy_bench;
+mod proc_stat;
 mod sim;
+mod slopes;
 mod workload;
 
 use eyre::{Result, bail};
 use getopts::Options;
+use load_bench::LoadShape;
 
-const USAGE: &str = "Usage: cardamomslip-bench policy [--seed N] [--format csv]";
+const USAGE: &str = "Usage: cardamomslip-bench policy|faults|slopes|load [--seed N] [--format csv]";
 
 /// Seed if none is given.
 const DEFAULT_SEED: u64 = 1;
@@ -30,7 +35,23 @@
     let seed = matches.opt_get_default("seed", DEFAULT_SEED)?;
     match matches.free.first().map(String::as_str) {
         Some("policy") => policy_bench::print_csv(&policy_bench::run(seed)),
+        Some("faults") => faults_bench::print_csv(seed),
+        Some("slopes") => slopes::print_csv(),
+        Some("load") => run_load()?,
         _ => bail!(opts.usage(USAGE)),
     }
     Ok(())
 }
+
+/// Runs one daemon, then seven.
+fn run_load() -> Result<()> {
+    load_bench::print_header();
+    for (daemons, callers, tasks) in [(1, 4, 50), (1, 16, 50), (7, 14, 50), (7, 28, 20)] {
+        load_bench::run(LoadShape {
+            daemons,
+            callers,
+            tasks,
+        })?;
+    }
+    Ok(())
+}
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -125,10 +125,10 @@
     pub failed_tasks: u64,
     /// Tasks started on executors that never answer.
     pub silent_tasks: u64,
+    /// Tasks started on executors while they were not normal.
+    pub started_on_faulty: u64,
     /// Messages between entry VMs.
     pub peer_messages: u64,
-    /// By kind.
-    pub by_kind: std::collections::BTreeMap<&'static str, u64>,
     /// Aborts.
     pub aborts: u64,
     /// Times that an issuer gave back slots which it had not used.
@@ -421,12 +421,6 @@
             Action::Respond { call, response } => self.responded(call, &response),
             Action::Send { to, message } => {
                 self.counts.peer_messages += 1;
-                let kind = match &message {
-                    cardamomslip_core::model::message::Message::Demand(_) => "demand",
-                    cardamomslip_core::model::message::Message::Grant(_) => "grant",
-                    _ => "other",
-                };
-                *self.counts.by_kind.entry(kind).or_insert(0) += 1;
                 let from = self.ids[entry];
                 let delay = self.deployment.delay(from.data_centre, to.data_centre);
                 if let Some(entry) = self.ids.iter().position(|&id| id == to) {
@@ -482,6 +476,7 @@
             return;
         }
         self.counts.started += 1;
+        self.counts.started_on_faulty += u64::from(executor.behaviour != Behaviour::Normal);
         executor.used += order.task.slots;
         let running = RunningTask {
             started: self.now,
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -105,6 +105,8 @@
     ageing: f64 = 0.5,
     /// Claims that one demand lists at most.
     max_claims: usize = 32,
+    /// Weight of a new observation of an executor's speed.
+    speed_gain: f64 = 0.02,
     /// Consecutive task failures without a success after which an executor is ejected.
     failure_streak: u32 = 3,
     /// First ejection time; doubles with each further ejection.
--- a/crates/core/src/systems/dispatch.rs
+++ b/crates/core/src/systems/dispatch.rs
@@ -67,7 +67,7 @@
             executor: row.vm.id,
             speed: row.speed(),
             slots: available(row, sharing),
-            single: row.health != Health::Trusted,
+            single: !is_trusted(row),
         })
         .filter(|slots| slots.slots > 0)
         .collect();
@@ -75,12 +75,17 @@
     idle
 }
 
+/// Tells whether an executor gets more than one task at a time.
+fn is_trusted(row: &Executor) -> bool {
+    row.health == Health::Trusted && row.failures == 0
+}
+
 fn available(row: &Executor, sharing: Sharing) -> u16 {
     let free = match sharing {
         Sharing::Owner => row.idle(),
         Sharing::Independent => row.vm.slots.saturating_sub(row.in_use),
     };
-    if row.health == Health::Trusted || row.in_use == 0 {
+    if is_trusted(row) || row.in_use == 0 {
         free
     } else {
         0
--- a/crates/core/src/systems/starts.rs
+++ b/crates/core/src/systems/starts.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A failure within one of this many parts of the expected run time comes at once.
+const AT_ONCE: u32 = 10;
+
 /// Takes in the end of an attempt. A late reply to an attempt that was given up is dropped.
 pub fn ended(world: &mut World, cx: &mut Cx<'_>, id: AttemptId, reply: StartReply) {
     let Some(attempt) = world.attempts.take(id) else {
@@ -65,13 +68,14 @@
 
 fn learn(world: &mut World, attempt: &Attempt, slot_time: Duration) {
     let observed = slot_time / u32::from(attempt.slots.max(1));
+    let gain = world.policy.speed_gain;
     let Some(row) = world.executors.get_mut(attempt.executor) else {
         return;
     };
     row.note_success();
     let speed = row.speed();
     if world.estimator.knows(&attempt.kind) {
-        row.learn_speed(attempt.estimate.div_f64(speed), observed);
+        row.learn_speed(attempt.estimate.div_f64(speed), observed, gain);
     }
     let scaled = observed.mul_f64(speed);
     world
@@ -94,7 +98,9 @@
     let policy = &world.policy;
     if let Some(row) = world.executors.get_mut(attempt.executor) {
         let trusted = !matches!(row.health, Health::Ejected { .. });
-        row.note_failure(cx.now, policy);
+        let expected = attempt.estimate.div_f64(row.speed());
+        let at_once = slot_time < expected / AT_ONCE;
+        row.note_failure(cx.now, at_once, policy);
         if trusted && matches!(row.health, Health::Ejected { .. }) {
             world.counters.ejections += 1;
         }
--- a/crates/core/src/tables/executor_table.rs
+++ b/crates/core/src/tables/executor_table.rs
@@ -7,10 +7,12 @@
 use crate::policy::Policy;
 use std::time::Duration;
 
-/// Weight of a new observation of an executor's speed.
-const SPEED_GAIN: f64 = 0.02;
 /// Bounds of the learned correction of the declared speed.
 const CORRECTION_RANGE: (f64, f64) = (0.05, 20.0);
+/// Deviation of a run time from the expected one, as a logarithm, that counts more.
+const FAR_OFF: f64 = 0.8;
+/// Factor on the weight of such an observation.
+const FAR_OFF_GAIN: f64 = 10.0;
 /// Divisor of the declared speed, which is in thousandths.
 const MILLI: f64 = 1_000.0;
 /// The fastest one of this many slots sets the top speed.
@@ -106,7 +108,8 @@
     #[must_use]
     pub fn is_usable(&self, now: Time) -> bool {
         let healthy = match self.health {
-            Health::Trusted => true,
+            // After a failure it gets one task at a time until one succeeds.
+            Health::Trusted => self.failures == 0 || self.in_use == 0,
             Health::Probation => self.in_use == 0,
             Health::Ejected { .. } => false,
         };
@@ -155,14 +158,21 @@
     }
 
     /// Learns from a run that was expected to take `expected` here and took `observed`.
-    pub fn learn_speed(&mut self, expected: Duration, observed: Duration) {
+    pub fn learn_speed(&mut self, expected: Duration, observed: Duration, gain: f64) {
         if expected.is_zero() || observed.is_zero() {
             return;
         }
         let ratio = expected.as_secs_f64() / observed.as_secs_f64();
         let (low, high) = CORRECTION_RANGE;
         let ratio = ratio.clamp(low, high);
-        let blended = self.correction.ln() + SPEED_GAIN * ratio.ln();
+        // Run times of one kind rarely differ that much: the executor has changed.
+        let far_off = ratio.ln().abs() > FAR_OFF;
+        let gain = if far_off {
+            (gain * FAR_OFF_GAIN).min(1.0)
+        } else {
+            gain
+        };
+        let blended = self.correction.ln() + gain * ratio.ln();
         self.correction = blended.exp().clamp(low, high);
     }
 
@@ -173,9 +183,10 @@
         self.health = Health::Trusted;
     }
 
-    /// Notes a task failure; ejects the executor after a streak.
-    pub fn note_failure(&mut self, now: Time, policy: &Policy) {
-        self.failures += 1;
+    /// Notes a task failure; ejects the executor after a streak. A failure at once counts twice:
+    /// an executor that fails everything it starts does so quickly.
+    pub fn note_failure(&mut self, now: Time, at_once: bool, policy: &Policy) {
+        self.failures += if at_once { 2 } else { 1 };
         let on_probation = self.health == Health::Probation;
         if on_probation || self.failures >= policy.failure_streak {
             self.eject(now, policy);
