Start tasks over asynchronous connections; docs; fix a flaky test

Flaky test: a port that a test had reserved was taken by an outgoing connection of another test before the daemon bound it (seen once: address in use). Each fleet now has a loopback address of its own. The oracle hands archives over in parts of one outcome: with whole ones a break of the check for missing parts went unnoticed.

--- a/crates/core/tests/oracle/fleet.rs
+++ b/crates/core/tests/oracle/fleet.rs
@@ -147,6 +147,7 @@
         .usage_interval(Duration::from_millis(2_000))
         .retention(Duration::from_secs(1_000))
         .handover_timeout(Duration::from_millis(6_000))
+        .handover_part(1)
         .build()
 }
 
--- a/crates/test/tests/processes/fleet.rs
+++ b/crates/test/tests/processes/fleet.rs
@@ -6,9 +6,10 @@
 use cardamomslip_test::{Customer, ExecutorConfig, ExecutorStandIn, PlatformStandIn};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 /// Entry VMs, the first two in one data centre and the others in another.
 pub const VMS: usize = 4;
@@ -41,11 +42,21 @@
     /// Entry daemons.
     pub vms: Vec<Vm>,
     revision: u64,
+    ip: Ipv4Addr,
 }
 
-/// Reserves a free port. Nothing else takes it within the short time until it is bound again.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+/// Returns a loopback address that no other fleet uses, so that a port that is free there stays
+/// free until the daemon binds it: outgoing connections take ports of 127.0.0.1 only.
+fn own_loopback() -> Ipv4Addr {
+    static FLEETS: AtomicU8 = AtomicU8::new(1);
+    let [high, low, third, fourth] = std::process::id().to_be_bytes();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, third ^ high, fourth ^ low, fleet)
+}
+
+/// Finds a free port of an address that only one fleet uses.
+fn free_address(ip: Ipv4Addr) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
     listener.local_addr().expect("a bound socket")
 }
 
@@ -61,6 +72,7 @@
             executors,
             vms: Vec::new(),
             revision: 0,
+            ip: own_loopback(),
         };
         for i in 0..VMS {
             let vm = fleet.prepare_vm(test, i);
@@ -78,7 +90,7 @@
     fn prepare_vm(&self, test: &str, i: usize) -> Vm {
         let name = format!("{test}-{i}");
         let data_centre = DATA_CENTRES[i / 2];
-        let (callers, peers) = (free_address(), free_address());
+        let (callers, peers) = (free_address(self.ip), free_address(self.ip));
         let text = format!(
             "name: {name}\n\
              data_centre: {data_centre}\n\
--- a/src/executors/http.rs
+++ b/src/executors/http.rs
@@ -1,122 +1,82 @@
 //! Executors over HTTP.
 
 use super::ExecutorClient;
+use super::pool::{Pool, PoolError};
 use super::wire::{AbortBody, EndBody, EndStatus, RefusalCause, StartBody};
 use cardamomslip_core::collections::FastMap;
 use cardamomslip_core::model::ids::{AttemptId, ExecutorId};
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::request::{NotStarted, StartOrder, StartReply};
 use cardamomslip_core::model::vm_list::VmList;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper::header::{CONTENT_TYPE, HOST};
+use serde::Serialize;
 use serde_json::value::RawValue;
-use std::io::ErrorKind;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
-use ureq::{Agent, Error, Timeout};
+use tokio::time::timeout;
 
 /// Longest result that is read, in bytes.
-const MAX_RESULT: u64 = 8 * 1024 * 1024;
+const MAX_RESULT: usize = 8 * 1024 * 1024;
 /// Time within which an abort is answered.
 const ABORT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// An executor's address and the connections to it.
-#[derive(Clone, Debug)]
-struct Row {
-    address: Arc<str>,
-    agent: Agent,
-}
-
 /// Executors over HTTP. Clones share the connections.
 #[derive(Clone, Debug)]
 pub struct HttpExecutors {
     me: Incarnation,
     idle_age: Duration,
     connect_timeout: Duration,
-    rows: Arc<RwLock<FastMap<ExecutorId, Row>>>,
+    pools: Arc<RwLock<FastMap<ExecutorId, Pool>>>,
 }
 
 impl HttpExecutors {
     /// Builds a client without executors. A connection that was idle for `idle_age` is not used
-    /// again, since a start on a dead one would have an ambiguous outcome.
+    /// again.
     #[must_use]
     pub fn new(me: Incarnation, idle_age: Duration, connect_timeout: Duration) -> Self {
         Self {
             me,
             idle_age,
             connect_timeout,
-            rows: Arc::default(),
+            pools: Arc::default(),
         }
     }
 
     /// Takes in the addresses of a newer VM list.
     pub fn take_list(&self, list: &VmList) {
-        let mut rows = self.rows.write().unwrap_or_else(PoisonError::into_inner);
-        rows.retain(|id, _| list.executors.iter().any(|vm| vm.id == *id));
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        pools.retain(|id, _| list.executors.iter().any(|vm| vm.id == *id));
         for vm in &list.executors {
-            let known = rows
+            let known = pools
                 .get(&vm.id)
-                .is_some_and(|row| row.address == vm.address);
+                .is_some_and(|pool| pool.address() == &*vm.address);
             if !known {
-                let row = Row {
-                    address: Arc::clone(&vm.address),
-                    agent: self.agent(vm.slots),
-                };
-                rows.insert(vm.id, row);
+                let address = Arc::clone(&vm.address);
+                let pool = Pool::new(address, self.idle_age, self.connect_timeout);
+                pools.insert(vm.id, pool);
             }
         }
     }
 
-    fn agent(&self, slots: u16) -> Agent {
-        Agent::config_builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_connect(Some(self.connect_timeout))
-            .max_idle_connections_per_host(usize::from(slots))
-            .max_idle_age(self.idle_age)
-            .build()
-            .into()
-    }
-
-    fn row(&self, executor: ExecutorId) -> Option<Row> {
-        let rows = self.rows.read().unwrap_or_else(PoisonError::into_inner);
-        rows.get(&executor).cloned()
-    }
-
-    /// Drops the idle connections to an executor after one of them was silent.
-    fn drop_connections(&self, executor: ExecutorId) {
-        let mut rows = self.rows.write().unwrap_or_else(PoisonError::into_inner);
-        if let Some(row) = rows.get_mut(&executor) {
-            row.agent = self.agent(u16::MAX);
-        }
+    fn pool(&self, executor: ExecutorId) -> Option<Pool> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.get(&executor).cloned()
     }
 
     fn attempt_name(&self, attempt: AttemptId) -> String {
         format!("{}/{}", self.me, attempt.0)
     }
-
-    fn call(&self, row: &Row, body: &StartBody<'_>, timeout: Duration) -> Result<EndBody, Error> {
-        let url = format!("http://{}/v1/start", row.address);
-        let req = row
-            .agent
-            .post(url)
-            .config()
-            .timeout_global(Some(timeout))
-            .build();
-        let mut response = req.send_json(body)?;
-        response
-            .body_mut()
-            .with_config()
-            .limit(MAX_RESULT)
-            .read_json()
-    }
 }
 
 impl ExecutorClient for HttpExecutors {
-    fn start(&self, order: &StartOrder, customer: &str) -> StartReply {
-        let Some(row) = self.row(order.executor) else {
+    async fn start(&self, order: &StartOrder, customer: &str) -> StartReply {
+        let Some(pool) = self.pool(order.executor) else {
             return StartReply::NotStarted(NotStarted::Unreachable);
         };
-        let Ok(payload) = RawValue::from_string(order.task.payload.to_string()) else {
+        let Ok(payload) = serde_json::from_str::<&RawValue>(&order.task.payload) else {
             // The body was JSON when it was taken in; a text that is not can't be sent.
             return StartReply::Failed {
                 slot_time: Duration::ZERO,
@@ -131,45 +91,72 @@
             kind: &order.task.kind,
             slots: order.task.slots,
             timeout_ms: u64::try_from(order.timeout.as_millis()).unwrap_or(u64::MAX),
-            payload: &payload,
+            payload,
         };
-        let reply = match self.call(&row, &body, order.timeout) {
-            Ok(end) => reply_of(&end, &body),
-            Err(e) if is_unsent(&e) => StartReply::NotStarted(NotStarted::Unreachable),
-            Err(e) => {
-                tracing::warn!(executor = %order.executor, error = %e, "outcome of a start is lost");
+        let called = timeout(order.timeout, call(&pool, "/v1/start", &body)).await;
+        let end = called.unwrap_or_else(|e| Err(PoolError::Lost(e.to_string())));
+        let reply = match end {
+            Ok(text) => match serde_json::from_slice(&text) {
+                Ok(end) => reply_of(&end, &body),
+                Err(e) => {
+                    tracing::warn!(executor = pool.address(), error = %e, "invalid reply");
+                    StartReply::Lost
+                }
+            },
+            Err(PoolError::Unsent(e)) => {
+                tracing::debug!(executor = pool.address(), error = e, "executor not reached");
+                StartReply::NotStarted(NotStarted::Unreachable)
+            }
+            Err(PoolError::Lost(e)) => {
+                tracing::warn!(
+                    executor = pool.address(),
+                    error = e,
+                    "outcome of a start is lost"
+                );
                 StartReply::Lost
             }
         };
         if reply == StartReply::Lost {
-            self.drop_connections(order.executor);
+            pool.clear();
         }
         reply
     }
 
-    fn abort(&self, attempt: AttemptId, executor: ExecutorId) {
-        let Some(row) = self.row(executor) else {
+    async fn abort(&self, attempt: AttemptId, executor: ExecutorId) {
+        let Some(pool) = self.pool(executor) else {
             return;
         };
-        let url = format!("http://{}/v1/abort", row.address);
-        let req = row
-            .agent
-            .post(url)
-            .config()
-            .timeout_global(Some(ABORT_TIMEOUT))
-            .build();
         let body = AbortBody {
             attempt: self.attempt_name(attempt),
         };
-        if let Err(e) = req.send_json(&body) {
-            tracing::debug!(%executor, error = %e, "abort not delivered");
+        let called = timeout(ABORT_TIMEOUT, call(&pool, "/v1/abort", &body)).await;
+        if !matches!(called, Ok(Ok(_))) {
+            tracing::debug!(executor = pool.address(), "abort not delivered");
         }
     }
 }
 
+/// Posts a body and reads the response.
+async fn call(pool: &Pool, path: &str, body: &impl Serialize) -> Result<Bytes, PoolError> {
+    let unsent = |e: String| PoolError::Unsent(e);
+    let body = serde_json::to_vec(body).map_err(|e| unsent(e.to_string()))?;
+    let req = Request::post(path)
+        .header(HOST, pool.address())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| unsent(e.to_string()))?;
+    let (response, sender) = pool.send(req).await?.into_parts();
+    let read = Limited::new(response.into_body(), MAX_RESULT)
+        .collect()
+        .await;
+    let body = read.map_err(|e| PoolError::Lost(e.to_string()))?;
+    pool.put_back(sender);
+    Ok(body.to_bytes())
+}
+
 /// Converts the end of an attempt. One that does not name the attempt belongs to another request:
 /// what became of this one is not known.
-fn reply_of(end: &EndBody, body: &StartBody<'_>) -> StartReply {
+fn reply_of(end: &EndBody<'_>, body: &StartBody<'_>) -> StartReply {
     if end.status == EndStatus::NotStarted {
         return StartReply::NotStarted(match end.reason {
             Some(RefusalCause::Leaving) => NotStarted::Leaving,
@@ -180,32 +167,19 @@
         tracing::error!(job = body.job, "an executor answered another request");
         return StartReply::Lost;
     }
-    match (end.status, &end.result) {
-        (EndStatus::Done, Some(result)) => StartReply::Done {
-            result: result.get().into(),
-            slot_time: end.slot_time(),
-        },
-        (EndStatus::Done, None) => StartReply::Done {
-            result: "null".into(),
-            slot_time: end.slot_time(),
-        },
-        (EndStatus::Aborted, _) => StartReply::Failed {
-            slot_time: end.slot_time(),
+    let slot_time = end.slot_time();
+    match end.status {
+        EndStatus::Done => {
+            let result = end.result.map_or("null", RawValue::get).into();
+            StartReply::Done { result, slot_time }
+        }
+        EndStatus::Aborted => StartReply::Failed {
+            slot_time,
             aborted: true,
         },
-        (EndStatus::Failed | EndStatus::NotStarted, _) => StartReply::Failed {
-            slot_time: end.slot_time(),
+        EndStatus::Failed | EndStatus::NotStarted => StartReply::Failed {
+            slot_time,
             aborted: false,
         },
     }
 }
-
-/// Tells whether an error proves that nothing was sent.
-fn is_unsent(e: &Error) -> bool {
-    match e {
-        Error::HostNotFound | Error::ConnectionFailed | Error::BadUri(_) => true,
-        Error::Timeout(timeout) => matches!(timeout, Timeout::Connect | Timeout::Resolve),
-        Error::Io(e) => e.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
--- a/src/executors/wire.rs
+++ b/src/executors/wire.rs
@@ -45,7 +45,7 @@
 
 /// The end of an attempt.
 #[derive(Debug, Deserialize)]
-pub struct EndBody {
+pub struct EndBody<'a> {
     pub status: EndStatus,
     #[serde(default)]
     pub reason: Option<RefusalCause>,
@@ -58,10 +58,11 @@
     #[serde(default)]
     pub slot_us: u64,
     #[serde(default)]
-    pub result: Option<Box<RawValue>>,
+    #[serde(borrow)]
+    pub result: Option<&'a RawValue>,
 }
 
-impl EndBody {
+impl EndBody<'_> {
     /// Tells whether this is the end of the attempt that `body` started.
     pub fn answers(&self, body: &StartBody<'_>) -> bool {
         let same_job = self.job.as_deref() == Some(&body.job) && self.index == Some(body.index);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,7 +23,6 @@
 //!
 //! # Limits
 //!
-//! * Each start in flight occupies a thread while it waits for its executor.
 //! * Connections are not encrypted; the VMs' network is trusted, and peers show a shared secret.
 
 pub mod callers;
--- a/src/node_actor.rs
+++ b/src/node_actor.rs
@@ -183,7 +183,7 @@
                 let executors = self.around.executors.clone();
                 self.around
                     .runtime
-                    .spawn_blocking(move || executors.abort(attempt, executor));
+                    .spawn(async move { executors.abort(attempt, executor).await });
             }
             Action::Store { op, req } => self.store(op, req),
             Action::AdoptConfiguration(config) => self.adopt_configuration(cx, &config),
@@ -220,8 +220,8 @@
         let customer = self.customers.get(&order.customer).map(Arc::clone);
         let customer = customer.unwrap_or_else(|| order.customer.to_string().into());
         let (executors, tx) = (self.around.executors.clone(), self.around.tx.clone());
-        self.around.runtime.spawn_blocking(move || {
-            let reply = executors.start(&order, &customer);
+        self.around.runtime.spawn(async move {
+            let reply = executors.start(&order, &customer).await;
             tx.event(Event::Started {
                 attempt: order.attempt,
                 reply,
