--- a/crates/core/src/systems/planner.rs
+++ b/crates/core/src/systems/planner/mod.rs
@@ -1,5 +1,12 @@
 //! The owner's side of slot sharing: who gets which slots.
 
+mod entities;
+mod granting;
+mod shares;
+
+use self::entities::{FreeSlots, PlannedClaim, PlannedIssuer};
+use self::granting::Granting;
+use self::shares::entitlements;
 use super::membership;
 use crate::collections::FastMap;
 use crate::model::ids::{CustomerId, ExecutorId};
@@ -21,49 +28,6 @@
 /// Least change of the expected wait that is told without other cause.
 const WAIT_STEP: Duration = Duration::from_millis(100);
 
-/// Speed classes whose slots are granted without delay.
-const URGENT_CLASSES: usize = 2;
-/// One of this many running tasks ends before a grant could be used.
-const OWN_SERVICE: u32 = 8;
-/// Weight of a new observation of the time that claims wait for the fastest slots.
-const PATIENCE_GAIN: f64 = 0.05;
-
-/// Free slots of an executor.
-#[derive(Clone, Copy, Debug)]
-struct FreeSlots {
-    executor: ExecutorId,
-    speed: f64,
-    slots: u32,
-    /// Whether it gets one task only.
-    single: bool,
-}
-
-/// A claim of an issuer, with what the plan gives it.
-#[derive(Clone, Copy, Debug)]
-struct PlannedClaim {
-    issuer: usize,
-    claim: Claim,
-    target: u32,
-}
-
-/// What an issuer has and gets.
-#[derive(Debug)]
-struct PlannedIssuer {
-    id: Incarnation,
-    held: u32,
-    target: u32,
-    recall: Recall,
-    told_recall: Recall,
-    /// Whether a grant was sent to it a moment ago.
-    recent: bool,
-    /// Waiting slots that need the fastest executors.
-    fast_wanted: u32,
-    /// Slots held, by executor.
-    holdings: FastMap<ExecutorId, u32>,
-    avoid: FastMap<ExecutorId, AvoidCause>,
-    grants: FastMap<ExecutorId, u16>,
-}
-
 /// Takes in the demand of an issuer and schedules a plan.
 pub fn demand_received(world: &mut World, cx: &Cx<'_>, from: Incarnation, demand: Demand) {
     if membership::slot_owner(world, cx.now) != Some(world.me) {
@@ -294,192 +258,6 @@
     }
 }
 
-/// A customer's part in the sharing.
-#[derive(Clone, Copy, Debug)]
-struct Share {
-    customer: CustomerId,
-    weight: u32,
-    want: u32,
-    quota: u32,
-    given: u32,
-}
-
-/// Computes the slots of each customer: by weight up to its quota and its want; what is left goes
-/// to those that want more than their quota, since nobody else waits for it.
-fn entitlements(
-    world: &World,
-    wants: &FastMap<CustomerId, u32>,
-    capacity: u32,
-) -> FastMap<CustomerId, u32> {
-    let mut shares: Vec<_> = wants
-        .iter()
-        .map(|(&id, &want)| share_of(world, id, want))
-        .collect();
-    shares.sort_by_key(|share| share.customer);
-    let mut left = capacity;
-    fill(&mut shares, &mut left, |share| share.want.min(share.quota));
-    fill(&mut shares, &mut left, |share| share.want);
-    shares
-        .into_iter()
-        .map(|share| (share.customer, share.given))
-        .collect()
-}
-
-fn share_of(world: &World, customer: CustomerId, want: u32) -> Share {
-    let entry = world
-        .config
-        .as_ref()
-        .and_then(|config| config.customer(customer));
-    let weight = entry.map_or(1, |entry| entry.weight);
-    let quota = entry
-        .and_then(|entry| entry.quota_slots)
-        .unwrap_or(u32::MAX);
-    Share {
-        customer,
-        weight,
-        want,
-        quota,
-        given: 0,
-    }
-}
-
-/// Gives out `left` slots one by one to the customer with the fewest per weight below its limit.
-fn fill(shares: &mut [Share], left: &mut u32, limit: impl Fn(&Share) -> u32) {
-    while *left > 0 {
-        let hungry = shares.iter_mut().filter(|share| share.given < limit(share));
-        let next = hungry.min_by(|a, b| {
-            let (a, b) = (per_weight(a), per_weight(b));
-            a.total_cmp(&b)
-        });
-        let Some(share) = next else {
-            return;
-        };
-        share.given += 1;
-        *left -= 1;
-    }
-}
-
-fn per_weight(share: &Share) -> f64 {
-    f64::from(share.given) / f64::from(share.weight)
-}
-
-/// Grants free slots to the issuers of the claims that have fewer than the plan gives them.
-#[derive(Debug)]
-struct Granting<'a> {
-    free: &'a mut Vec<FreeSlots>,
-    top_speed: f64,
-    /// Mean time that claims on the fastest slots waited for them.
-    patience: Duration,
-    /// Slots by speed class for which claims wait although the plan has them.
-    lacking: SpeedNeeds,
-    /// Whether slots are kept back to be granted with later ones in one message.
-    deferred: bool,
-}
-
-impl Granting<'_> {
-    fn run(&mut self, claims: &[PlannedClaim], issuers: &mut [PlannedIssuer]) {
-        for planned in claims {
-            let waiting = planned.target.saturating_sub(planned.claim.running);
-            let issuer = &mut issuers[planned.issuer];
-            let mut missing = issuer.target.saturating_sub(issuer.held).min(waiting);
-            for class in 0..SPEED_CLASSES {
-                if class == URGENT_CLASSES {
-                    // The job's own slots will serve that many in a moment.
-                    missing = missing.saturating_sub(planned.claim.running / OWN_SERVICE);
-                }
-                let wanted = planned.claim.needs.0[class].min(missing);
-                if wanted > 0 && issuer.recent && class >= URGENT_CLASSES {
-                    self.deferred = true;
-                    break;
-                }
-                let granted = self.grant_class(planned, class, wanted, issuer);
-                missing = missing.saturating_sub(granted);
-                self.lacking.0[class] += wanted.saturating_sub(granted);
-            }
-        }
-    }
-
-    /// Grants up to `wanted` slots for tasks of one speed class and returns how many it granted.
-    fn grant_class(
-        &mut self,
-        planned: &PlannedClaim,
-        class: usize,
-        wanted: u32,
-        issuer: &mut PlannedIssuer,
-    ) -> u32 {
-        let width = u32::from(planned.claim.width.max(1));
-        let speed = SpeedNeeds::fraction_of(class) * self.top_speed;
-        let mut granted = 0;
-        while granted < wanted {
-            let Some(position) = choose_free(self.free, issuer, speed, width) else {
-                reserve(self.free, width);
-                break;
-            };
-            let found = self.free[position].speed;
-            if found < speed && !planned.claim.accepts(class, found, self.patience) {
-                break;
-            }
-            if class == 0 && granted == 0 {
-                self.note_wait(planned.claim.waited);
-            }
-            granted += take(self.free, issuer, position, width);
-        }
-        granted
-    }
-
-    fn note_wait(&mut self, waited: Duration) {
-        let mean = self.patience.as_secs_f64();
-        let next = mean + PATIENCE_GAIN * (waited.as_secs_f64() - mean);
-        self.patience = Duration::from_secs_f64(next.max(0.0));
-    }
-}
-
-/// Chooses the slowest free executor of at least `speed`, or else the fastest.
-fn choose_free(
-    free: &[FreeSlots],
-    issuer: &PlannedIssuer,
-    speed: f64,
-    width: u32,
-) -> Option<usize> {
-    let fits = |slots: &FreeSlots| slots.slots >= width && issuer.takes(slots.executor);
-    let enough = free
-        .iter()
-        .position(|slots| slots.speed >= speed && fits(slots));
-    enough.or_else(|| free.iter().rposition(fits))
-}
-
-impl PlannedIssuer {
-    fn takes(&self, executor: ExecutorId) -> bool {
-        matches!(
-            self.avoid.get(&executor),
-            None | Some(AvoidCause::Probation)
-        )
-    }
-}
-
-fn take(free: &mut Vec<FreeSlots>, issuer: &mut PlannedIssuer, position: usize, width: u32) -> u32 {
-    let slots = &mut free[position];
-    slots.slots -= width;
-    issuer.held += width;
-    let granted = issuer.grants.entry(slots.executor).or_insert(0);
-    *granted += u16::try_from(width).unwrap_or(u16::MAX);
-    if slots.slots == 0 || slots.single {
-        free.remove(position);
-    }
-    width
-}
-
-/// Keeps the executor with the most free slots for a task that is wider than what is free.
-fn reserve(free: &mut Vec<FreeSlots>, width: u32) {
-    if width <= 1 {
-        return;
-    }
-    let widest = free.iter().enumerate().max_by_key(|(_, slots)| slots.slots);
-    if let Some((position, _)) = widest {
-        free.remove(position);
-    }
-}
-
 /// Asks issuers for slots that others lack: first for fast ones that tasks wait for, then for as
 /// many as an issuer has more than the plan gives it.
 fn plan_recalls(world: &World, issuers: &mut [PlannedIssuer], lacking: &SpeedNeeds) {
--- /dev/null
+++ b/crates/core/tests/oracle/fleet/operations.rs
@@ -0,0 +1,213 @@
+//! Operations that a case performs.
+
+use super::{Chaos, Fleet, Process, Shape, change_request, customer, policy};
+use crate::executor::Mode;
+use crate::ledger::CallKind;
+use cardamomslip_core::collections::FastMap;
+use cardamomslip_core::model::configuration::Change;
+use cardamomslip_core::model::ids::{CallId, VmId};
+use cardamomslip_core::model::incarnation::Incarnation;
+use cardamomslip_core::model::request::{JobRequest, JobVerb, Request};
+use cardamomslip_core::{Event, Identity, Node};
+use rand::RngExt;
+use std::time::Duration;
+
+impl Fleet {
+    /// Prepares a submission and takes an id for it unless it is `keyed`.
+    pub fn take_ids(&mut self, vm: usize, shape: Shape, keyed: bool) {
+        let number = self.ledger.submissions.len();
+        let label = format!("s{number}");
+        let submission = shape.submission(&label, customer(number));
+        self.ledger.submissions.push(submission);
+        if !keyed {
+            let req = Request::TakeIds {
+                customer: customer(number),
+                count: 1,
+            };
+            self.call(vm, CallKind::TakeIds(number), req);
+        }
+    }
+
+    /// Submits or repeats a submission through any VM.
+    pub fn submit(&mut self, vm: usize, number: usize, wait_ms: u64) {
+        let wait = Duration::from_millis(wait_ms);
+        self.ledger.submissions[number].submitted = true;
+        let row = self.ledger.submissions[number].clone();
+        let req = match row.id {
+            Some(id) => {
+                let verb = JobVerb::Submit(row.spec);
+                Request::Job(JobRequest {
+                    id,
+                    customer: row.customer,
+                    wait,
+                    verb,
+                })
+            }
+            None => Request::Keyed {
+                customer: row.customer,
+                key: row.label.as_str().into(),
+                spec: row.spec,
+                wait,
+            },
+        };
+        self.call(vm, CallKind::Job(number), req);
+    }
+
+    /// Fetches or cancels a submission that has an id.
+    pub fn ask(&mut self, vm: usize, number: usize, verb: JobVerb, foreign: bool) {
+        let row = &self.ledger.submissions[number];
+        let Some(id) = row.id else {
+            return;
+        };
+        let kind = if foreign {
+            CallKind::Foreign
+        } else {
+            CallKind::Job(number)
+        };
+        let customer = if foreign {
+            customer(number + 1)
+        } else {
+            row.customer
+        };
+        let wait = Duration::ZERO;
+        self.call(
+            vm,
+            kind,
+            Request::Job(JobRequest {
+                id,
+                customer,
+                wait,
+                verb,
+            }),
+        );
+    }
+
+    /// Puts a preset in force, based on the version that the VM knows.
+    pub fn change(&mut self, vm: usize, preset: &str) {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let Some(process) = self.vms[vm].process.as_mut() else {
+            return;
+        };
+        let req = change_request(process.version, Change::ApplyPreset(preset.into()));
+        let event = Event::Change { call, req };
+        if process.paused_at.is_some() {
+            process.inbox.push((event, Some((call, CallKind::Change))));
+            return;
+        }
+        process.calls.insert(call, CallKind::Change);
+        self.run_node(vm, Some(event));
+    }
+
+    /// Kills the process of a VM.
+    pub fn kill(&mut self, vm: usize) {
+        if let Some(process) = self.vms[vm].process.take() {
+            self.drop_links(process.me);
+        }
+    }
+
+    /// Starts a fresh process on a VM without one.
+    pub fn replace(&mut self, vm: usize) {
+        if self.vms[vm].process.is_some() {
+            return;
+        }
+        let row = &mut self.vms[vm];
+        row.nonce += 1;
+        let me = Incarnation {
+            data_centre: row.data_centre,
+            vm: VmId(vm as u64),
+            nonce: row.nonce,
+        };
+        let seed = self.rng.random();
+        let node = Node::new(
+            Identity {
+                me,
+                weight: 1 + vm as u32 % 2,
+                seed,
+            },
+            policy(),
+        );
+        row.process = Some(Process {
+            me,
+            node,
+            epoch: self.now,
+            paused_at: None,
+            inbox: Vec::new(),
+            calls: FastMap::default(),
+            version: 0,
+            list: None,
+            closing: false,
+        });
+    }
+
+    /// Freezes the process of a VM.
+    pub fn pause(&mut self, vm: usize) {
+        let now = self.now;
+        if let Some(process) = self.vms[vm].process.as_mut() {
+            process.paused_at.get_or_insert(now);
+        }
+    }
+
+    /// Lets a frozen process go on; it then sees what came meanwhile.
+    pub fn resume(&mut self, vm: usize) {
+        let Some(process) = self.vms[vm].process.as_mut() else {
+            return;
+        };
+        process.paused_at = None;
+        for (event, call) in std::mem::take(&mut process.inbox) {
+            let Some(process) = self.vms[vm].process.as_mut() else {
+                // Requests that wait before a process that ends are refused by its machine.
+                return;
+            };
+            process.calls.extend(call);
+            self.run_node(vm, Some(event));
+        }
+    }
+
+    /// Begins the graceful stop of a VM's process.
+    pub fn stop(&mut self, vm: usize) {
+        if let Some(process) = self.vms[vm].process.as_mut() {
+            process.closing = true;
+        }
+        self.run_node(vm, Some(Event::Stop));
+    }
+
+    /// Cuts the data centres off from each other.
+    pub fn cut(&mut self) {
+        self.cut = true;
+    }
+
+    /// Cuts a data centre off from the platform.
+    pub fn cut_platform(&mut self, data_centre: usize) {
+        self.platform_cut[data_centre] = true;
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.cut = false;
+        self.platform_cut.fill(false);
+    }
+
+    /// Sets how the soup treats messages; 0 is lossless.
+    pub fn set_chaos(&mut self, level: u8) {
+        let level = f64::from(level);
+        self.chaos = Chaos {
+            drop: 0.05 * level,
+            duplicate: 0.1 * level,
+            delay_ms: (level * 400.0) as u64,
+        };
+    }
+
+    /// Sets the behaviour of an executor.
+    pub fn set_mode(&mut self, executor: usize, mode: Mode) {
+        let count = self.executors.len();
+        self.executors[executor % count].mode = mode;
+    }
+
+    /// Lets an executor leave or come back.
+    pub fn set_leaving(&mut self, executor: usize, leaving: bool) {
+        let count = self.executors.len();
+        self.executors[executor % count].leaving = leaving;
+        self.vm_list_revision += 1;
+    }
+}
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -79,11 +79,7 @@
         let (socket, _) = client.await.map_err(Box::new)?;
         greet(socket, config.me).await
     };
-    let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, connect)
-        .await
-        .unwrap_or(Err(LinkError::Silent))?;
-    run(socket, peer, &config, tx).await;
-    Ok(())
+    join(connect, &config, tx).await
 }
 
 /// Accepts a connection and runs it until it ends.
@@ -101,10 +97,18 @@
         let socket = server.await.map_err(Box::new)?;
         greet(socket, config.me).await
     };
-    let (socket, peer) = timeout(HANDSHAKE_TIMEOUT, connect)
-        .await
-        .unwrap_or(Err(LinkError::Silent))?;
-    run(socket, peer, &config, tx).await;
+    join(connect, &config, tx).await
+}
+
+/// Waits for a handshake and runs the connection until it ends.
+async fn join(
+    connect: impl Future<Output = Result<(Socket, Incarnation), LinkError>>,
+    config: &LinkConfig,
+    tx: HubSender,
+) -> Result<(), LinkError> {
+    let shaken = timeout(HANDSHAKE_TIMEOUT, connect).await;
+    let (socket, peer) = shaken.unwrap_or(Err(LinkError::Silent))?;
+    run(socket, peer, config, tx).await;
     Ok(())
 }
 
