--- a/crates/bench/src/policy_bench.rs
+++ b/crates/bench/src/policy_bench.rs
@@ -49,6 +49,8 @@
     pub wasted_per_task: f64,
     /// Largest difference of a customer's share from its weight while all wait.
     pub share_error: f64,
+    /// Bytes between entry VMs that one sends, in a second.
+    pub peer_bytes_per_s: f64,
     /// What the burst showed, if there was one.
     pub burst: Option<Burst>,
 }
@@ -155,6 +157,9 @@
         messages_per_task: messages as f64 / tasks,
         wasted_per_task: wasted as f64 / tasks,
         share_error: share_error(counts.shares),
+        peer_bytes_per_s: counts.peer_bytes as f64
+            / outcomes.length.as_secs_f64()
+            / deployment.entries() as f64,
         burst: matches!(load, Load::Burst { .. }).then(|| burst(work, outcomes)),
     }
 }
@@ -229,6 +234,10 @@
         );
     }
     for row in rows {
+        eprintln!(
+            "# {} {} {}: {:.0} bytes a second sent by an entry VM to its peers",
+            row.deployment, row.load, row.policy, row.peer_bytes_per_s
+        );
         if let Some(burst) = row.burst {
             eprintln!(
                 "# burst {} {}: refused {} (slowest after {:?}), late {}, recovery {:?}",
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::{Deployment, top_speed, total_speed};
 use crate::workload::{CUSTOMERS, Job, KIND_COUNT};
+use cardamomslip::peers::encode;
 use cardamomslip_core::collections::FastMap;
 use cardamomslip_core::model::configuration::{
     Change, ChangeRequest, Configuration, CustomerEntry, Preset,
@@ -129,6 +130,8 @@
     pub started_on_faulty: u64,
     /// Messages between entry VMs.
     pub peer_messages: u64,
+    /// Bytes of the messages between entry VMs.
+    pub peer_bytes: u64,
     /// Aborts.
     pub aborts: u64,
     /// Times that an issuer gave back slots which it had not used.
@@ -148,6 +151,8 @@
     pub jobs: Vec<JobResult>,
     /// Counts.
     pub counts: Counts,
+    /// Time that the run took, in virtual time.
+    pub length: Duration,
 }
 
 /// A run in virtual time.
@@ -305,6 +310,7 @@
         Outcomes {
             jobs: self.results,
             counts: self.counts,
+            length: self.now,
         }
     }
 
@@ -421,6 +427,7 @@
             Action::Respond { call, response } => self.responded(call, &response),
             Action::Send { to, message } => {
                 self.counts.peer_messages += 1;
+                self.counts.peer_bytes += encode(&message).len() as u64;
                 let from = self.ids[entry];
                 let delay = self.deployment.delay(from.data_centre, to.data_centre);
                 if let Some(entry) = self.ids.iter().position(|&id| id == to) {
