--- a/crates/core/src/model/store.rs
+++ b/crates/core/src/model/store.rs
@@ -35,7 +35,8 @@
         /// The key.
         key: Arc<str>,
     },
-    /// Write the cumulative usage of this incarnation under its own key.
+    /// Write the cumulative usage of this incarnation under its own key, if the value did not
+    /// change since the operation began.
     WriteUsage(UsageReport),
 }
 
--- a/crates/core/src/systems/closing.rs
+++ b/crates/core/src/systems/closing.rs
@@ -45,11 +45,22 @@
     if world.phase == Phase::Draining && is_drained(world) {
         hand_over(world, cx);
     }
+    if world.phase == Phase::HandingOver {
+        report_usage(world, cx);
+    }
     if world.phase == Phase::HandingOver && is_handed_over(world) {
         close(world, cx);
     }
 }
 
+/// Writes the last usage report once no earlier one is on its way, which could replace it.
+fn report_usage(world: &mut World, cx: &mut Cx<'_>) {
+    if !world.closing.usage_begun && !world.store_ops.writes_usage() {
+        world.closing.usage_begun = true;
+        usage::write(world, cx, true);
+    }
+}
+
 fn is_drained(world: &World) -> bool {
     let settled = world.attempts.is_empty() && !world.store_ops.has_requests();
     world.jobs.open_len() == 0 && world.forwards.is_empty() && settled
@@ -72,7 +83,6 @@
         }
     }
     world.closing.asked = asked;
-    usage::write(world, cx, true);
     cx.subscribe(world, world.policy.handover_timeout, Timer::HandoverTimeout);
 }
 
--- a/crates/core/src/systems/usage.rs
+++ b/crates/core/src/systems/usage.rs
@@ -4,6 +4,7 @@
 use crate::model::ids::CustomerId;
 use crate::model::store::{StoreOp, UsageReport};
 use crate::model::time::Time;
+use crate::status::Phase;
 use crate::tables::attempt_table::Attempt;
 use crate::tables::store_op_table::StoreTask;
 use crate::world::{Cx, World};
@@ -33,9 +34,11 @@
     }
 }
 
-/// Writes the report if it changed and no write is unsettled.
+/// Writes the report if it changed and no write is unsettled. The last report of a graceful stop
+/// is not followed by another.
 pub fn write_if_changed(world: &mut World, cx: &mut Cx<'_>) {
-    if !world.store_ops.writes_usage() && world.usage.take_changed() {
+    let reporting = matches!(world.phase, Phase::Serving | Phase::Draining);
+    if reporting && !world.store_ops.writes_usage() && world.usage.take_changed() {
         write(world, cx, false);
     }
 }
--- a/crates/core/src/world.rs
+++ b/crates/core/src/world.rs
@@ -76,6 +76,8 @@
     pub asked: Vec<Incarnation>,
     /// Archives that are handed over, with the peers that stored them.
     pub stored: FastMap<Incarnation, Vec<Incarnation>>,
+    /// Whether the last usage report was begun.
+    pub usage_begun: bool,
     /// Whether the last usage report was written.
     pub usage_written: bool,
     /// Whether the time for the hand-over is over.
--- a/crates/core/tests/oracle/fleet/checks.rs
+++ b/crates/core/tests/oracle/fleet/checks.rs
@@ -3,6 +3,7 @@
 use super::{Fleet, LONGEST_JOB_MS, STOP_STEPS, VMS, Vm};
 use crate::executor::Mode;
 use cardamomslip_core::model::request::JobVerb;
+use cardamomslip_core::model::store::UsageReport;
 use cardamomslip_core::model::time::Time;
 use cardamomslip_core::status::Phase;
 use rand::RngExt;
@@ -105,37 +106,57 @@
         text
     }
 
-    /// Compares the usage of each process, and of each that closed, with the executors' counts.
-    fn check_usage(&mut self) {
-        let mut reports: Vec<_> = self
-            .vms
-            .iter()
-            .filter_map(|vm| vm.process.as_ref())
-            .map(|process| {
-                process
-                    .node
-                    .usage(Time::from_micros(self.now - process.epoch))
-            })
-            .collect();
-        let closed = self.closed.iter().filter_map(|me| self.store.usage.get(me));
-        reports.extend(closed.filter(|report| report.closed).cloned());
-        for report in reports {
-            let me = report.incarnation;
-            let settled: Duration = report.lines.iter().map(|line| line.settled).sum();
-            let unsettled: Duration = report.lines.iter().map(|line| line.unsettled).sum();
-            let counted: Duration = self
-                .executors
-                .iter()
-                .filter_map(|row| row.counted.get(&me))
-                .sum();
-            assert!(
-                settled <= counted,
-                "{me} credits {settled:?} of {counted:?}"
-            );
-            assert!(
-                counted <= settled + unsettled,
-                "{me} credits {settled:?} and {unsettled:?} unsettled of {counted:?}"
+    /// Compares the usage of each process, and what the store holds of the others, with the
+    /// executors' counts.
+    fn check_usage(&self) {
+        let mut alive = Vec::new();
+        for process in self.vms.iter().filter_map(|vm| vm.process.as_ref()) {
+            alive.push(process.me);
+            let report = process
+                .node
+                .usage(Time::from_micros(self.now - process.epoch));
+            self.check_report(&report, Duration::ZERO);
+        }
+        for (me, row) in &self.store.usage {
+            if alive.contains(me) {
+                continue;
+            }
+            let settled = self.store.settled.contains(me);
+            assert_eq!(
+                row.report.closed, settled,
+                "the last report of {me} was replaced"
             );
+            // A dead process may have used all slots since its last report.
+            let last_end = self.last_end.get(me).copied().unwrap_or(0);
+            let since = Duration::from_micros(last_end.saturating_sub(row.at));
+            let slots: u32 = self.executors.iter().map(|row| u32::from(row.slots)).sum();
+            let missing = if row.report.closed {
+                Duration::ZERO
+            } else {
+                since * slots
+            };
+            self.check_report(&row.report, missing);
         }
     }
+
+    /// Checks that a report credits no more than the executors counted, and no less but for what
+    /// is unsettled and what may be `missing`.
+    fn check_report(&self, report: &UsageReport, missing: Duration) {
+        let me = report.incarnation;
+        let settled: Duration = report.lines.iter().map(|line| line.settled).sum();
+        let unsettled: Duration = report.lines.iter().map(|line| line.unsettled).sum();
+        let counted: Duration = self
+            .executors
+            .iter()
+            .filter_map(|row| row.counted.get(&me))
+            .sum();
+        assert!(
+            settled <= counted,
+            "{me} credits {settled:?} of {counted:?}"
+        );
+        assert!(
+            counted <= settled + unsettled + missing,
+            "{me} credits {settled:?}, {unsettled:?} unsettled, {missing:?} missing of {counted:?}"
+        );
+    }
 }
--- a/crates/core/tests/oracle/fleet/mod.rs
+++ b/crates/core/tests/oracle/fleet/mod.rs
@@ -79,8 +79,13 @@
         from: Incarnation,
         op: StoreOpId,
         req: StoreOp,
+        asked: u64,
+    },
+    StoreEffect {
+        req: StoreOp,
+        usage_version: u64,
+        asked: u64,
     },
-    StoreEffect(StoreOp),
     Housekeeping,
 }
 
@@ -136,6 +141,8 @@
     /// What was reached.
     pub counts: BTreeMap<String, u64>,
     closed: FastSet<Incarnation>,
+    /// When the last task of an incarnation ended.
+    last_end: FastMap<Incarnation, u64>,
     lost_at_issuer: FastSet<(Incarnation, AttemptId)>,
     healed_since: Option<u64>,
 }
@@ -216,6 +223,7 @@
             ledger: Ledger::default(),
             counts: BTreeMap::new(),
             closed: FastSet::default(),
+            last_end: FastMap::default(),
             lost_at_issuer: FastSet::default(),
             healed_since: None,
         };
@@ -312,9 +320,20 @@
             } => {
                 self.task_ends(executor, issuer, attempt, true);
             }
-            Item::StoreOpArrives { from, op, req } => self.store_op_arrives(from, op, &req),
-            Item::StoreEffect(req) => {
-                self.store.perform(&req);
+            Item::StoreOpArrives {
+                from,
+                op,
+                req,
+                asked,
+            } => {
+                self.store_op_arrives(from, op, &req, asked);
+            }
+            Item::StoreEffect {
+                req,
+                usage_version,
+                asked,
+            } => {
+                self.perform(&req, usage_version, asked);
             }
             Item::Housekeeping => {
                 self.housekeeping();
@@ -372,7 +391,15 @@
             }
             Action::Store { op, req } => {
                 let delay = self.latency();
-                self.push(delay, Item::StoreOpArrives { from: me, op, req });
+                self.push(
+                    delay,
+                    Item::StoreOpArrives {
+                        from: me,
+                        op,
+                        req,
+                        asked: self.now,
+                    },
+                );
             }
             Action::AdoptConfiguration(config) => self.adopted(vm, &config),
             Action::AdoptVmList(list) => self.process(vm).list = Some(list),
@@ -554,6 +581,7 @@
         attempt: AttemptId,
         aborted: bool,
     ) {
+        self.last_end.insert(issuer, self.now);
         let Some(reply) = self.executors[executor].end(issuer, attempt, self.now, aborted) else {
             return;
         };
@@ -563,21 +591,38 @@
         self.reply_start(issuer, attempt, reply);
     }
 
-    fn store_op_arrives(&mut self, from: Incarnation, op: StoreOpId, req: &StoreOp) {
+    /// Performs an operation. A usage write that began when the store held another report than now
+    /// has no effect.
+    fn perform(&mut self, req: &StoreOp, usage_version: u64, asked: u64) -> StoreReply {
+        match req {
+            StoreOp::WriteUsage(report) => self.store.write_usage(report, usage_version, asked),
+            _ => self.store.perform(req),
+        }
+    }
+
+    fn store_op_arrives(&mut self, from: Incarnation, op: StoreOpId, req: &StoreOp, asked: u64) {
         let cut = self.platform_cut[from.data_centre.0 as usize];
         let roll: f64 = self.rng.random();
+        let usage_version = self.store.usage_version(from);
         let reply = if cut || roll < self.chaos.drop {
             StoreReply::Lost
         } else if roll < 2.0 * self.chaos.drop {
-            self.store.perform(req);
+            self.perform(req, usage_version, asked);
             StoreReply::Lost
         } else if roll < 3.0 * self.chaos.drop {
             // The write takes effect long after the caller gave it up.
             let delay = self.rng.random_range(0..3_000 * MS);
-            self.push(delay, Item::StoreEffect(req.clone()));
+            self.push(
+                delay,
+                Item::StoreEffect {
+                    req: req.clone(),
+                    usage_version,
+                    asked,
+                },
+            );
             StoreReply::Lost
         } else {
-            self.store.perform(req)
+            self.perform(req, usage_version, asked)
         };
         if reply == StoreReply::Lost {
             self.count("store reply lost");
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -70,12 +70,20 @@
             StoreOp::ReadKey { customer, key } => self.read_key(&key_path(*customer, key)),
             StoreOp::WriteUsage(report) => {
                 let wire = UsageWire::new(report, config);
-                let key = format!("{USAGE_PREFIX}{}", wire.incarnation);
-                reply_of(self.client.put(&key, &wire, None, None))
+                reply_of(self.write_usage(&wire))
             }
         }
     }
 
+    /// Writes a report if nobody wrote since this began, so that an earlier write of which the
+    /// effect comes late can't replace a newer report.
+    fn write_usage(&self, wire: &UsageWire) -> Result<(), PlatformError> {
+        let key = format!("{USAGE_PREFIX}{}", wire.incarnation);
+        let current = self.client.get::<UsageWire>(&key)?;
+        let version = current.map_or(0, |row| row.version);
+        self.client.put(&key, wire, Some(version), None)
+    }
+
     fn read_configuration(&self) -> StoreReply {
         match self.client.get::<ConfigurationWire>(CONFIG_KEY) {
             Ok(None) => StoreReply::Configuration(None),
