--- /dev/null
+++ b/crates/core/src/guarded/model/cell.rs
@@ -0,0 +1,66 @@
+//! Groups of workers that one entry VM holds.
+
+use super::ids::WorkerId;
+use crate::model::ids::DataCentreId;
+use std::time::Duration;
+
+/// Workers of a cell on average at most.
+pub const MAX_CELL_WORKERS: usize = 24;
+
+/// A group of workers of one data centre. The workers of a data centre are split into a power of
+/// two of cells by a hash of their ids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Cell {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Number of cells in the data centre, a power of two.
+    pub of: u16,
+    /// Number of this cell, below `of`.
+    pub index: u16,
+}
+
+impl Cell {
+    /// Returns the number of cells for a data centre with `workers` workers.
+    #[must_use]
+    pub fn count(workers: usize) -> u16 {
+        let cells = workers.div_ceil(MAX_CELL_WORKERS).max(1);
+        u16::try_from(cells.next_power_of_two()).unwrap_or(1 << 15)
+    }
+
+    /// Tells whether a worker of the cell's data centre belongs to the cell.
+    #[must_use]
+    pub const fn has(&self, worker: WorkerId) -> bool {
+        // The ids are hashes, so their high bits spread evenly.
+        let bucket = (worker.0 >> 32) as u16 & (self.of - 1);
+        bucket == self.index
+    }
+}
+
+/// A cell and how much its holder has to do there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CellLoad {
+    /// The cell.
+    pub cell: Cell,
+    /// Processor of usable workers, in thousandths of a core.
+    pub capacity_milli: u64,
+    /// The part of it that no run uses.
+    pub free_milli: u64,
+    /// Processor that waiting tasks need, in thousandths of a core.
+    pub waiting_milli: u64,
+    /// Mean time for which a run occupies its processor.
+    pub mean_run: Duration,
+}
+
+impl CellLoad {
+    /// Estimates how long a task waits for its start in the cell.
+    #[must_use]
+    pub fn expected_wait(&self) -> Duration {
+        if self.capacity_milli == 0 {
+            return Duration::MAX;
+        }
+        let ahead = self.waiting_milli.saturating_sub(self.free_milli);
+        #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+        let share = ahead as f64 / self.capacity_milli as f64;
+        self.mean_run.mul_f64(share)
+    }
+}
--- /dev/null
+++ b/crates/core/src/guarded/model/mod.rs
@@ -0,0 +1,11 @@
+//! The terms of guarded workers.
+
+pub mod answer;
+pub mod cell;
+pub mod ids;
+pub mod job;
+pub mod message;
+pub mod queue;
+pub mod reply;
+pub mod resources;
+pub mod worker;
--- /dev/null
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -0,0 +1,234 @@
+//! Which task starts next, and on which worker.
+
+use crate::guarded::model::ids::{ClientJobId, RunId, TaskId, WorkerId};
+use crate::guarded::model::job::Step;
+use crate::guarded::model::resources::Resources;
+use crate::guarded::order::{Order, Start};
+use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
+use crate::guarded::tables::worker::{Run, RunState, Worker};
+use crate::guarded::world::{Cx, World};
+use crate::model::time::Time;
+use std::cmp::Ordering;
+use std::time::Duration;
+
+/// Part of the predicted run time that a task must have left to count as in time; predictions are
+/// rough, so a little less may do.
+const IN_TIME_SHARE: f64 = 0.85;
+
+/// Order in which jobs get their starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// Whether the latency objective can't be met any more.
+    late: bool,
+    /// Among late jobs, the higher priority first.
+    priority: u32,
+    /// The latest start that meets the objective; for late jobs the submission.
+    at: Time,
+}
+
+/// Starts waiting tasks while there is room.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    if !has_room(world, cx.now) {
+        return;
+    }
+    let mut order: Vec<(Rank, ClientJobId)> = world
+        .jobs
+        .values()
+        .filter(|job| job.due_tasks().next().is_some())
+        .map(|job| (rank(world, cx.now, job), job.id()))
+        .collect();
+    order.sort_unstable();
+    for (_, id) in order {
+        start_tasks(world, cx, id);
+        if !has_room(world, cx.now) {
+            return;
+        }
+    }
+}
+
+fn has_room(world: &World, now: Time) -> bool {
+    let silence = world.policy.worker_silence;
+    let mut rows = world.workers.values();
+    rows.any(|row| row.is_usable(now, silence) && row.admits_more() && row.free().cpu_milli > 0)
+}
+
+fn rank(world: &World, now: Time, job: &RunnerJob) -> Rank {
+    let left = job.work_left(&world.estimator);
+    let slack = job.objective_at.since(now);
+    let late = slack < left.mul_f64(IN_TIME_SHARE);
+    if late {
+        return Rank {
+            late,
+            priority: job.job.terms.priority,
+            at: job.submitted,
+        };
+    }
+    Rank {
+        late,
+        priority: 0,
+        at: now + slack.saturating_sub(left),
+    }
+}
+
+/// Starts the tasks of a job that fit somewhere.
+fn start_tasks(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) {
+    let Some(job) = world.jobs.get(&id) else {
+        return;
+    };
+    let due: Vec<TaskId> = job
+        .due_tasks()
+        .map(|task| task.id)
+        .filter(|task| !world.live.contains_key(task))
+        .collect();
+    for task in due {
+        let Some(worker) = choose(world, cx.now, task) else {
+            return;
+        };
+        start(world, cx, task, worker);
+    }
+}
+
+/// A worker that a task fits on.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    worker: WorkerId,
+    avoided: bool,
+    in_time: bool,
+    predicted: Duration,
+    left_milli: u64,
+}
+
+impl Candidate {
+    /// Orders candidates: in time first; of those the slowest, so that fast ones stay free for
+    /// tasks that need them; else the fastest. Then the one that is left with the least.
+    fn better_than(&self, other: &Self) -> bool {
+        let by_time = if self.in_time {
+            other.predicted.cmp(&self.predicted).reverse()
+        } else {
+            other.predicted.cmp(&self.predicted)
+        };
+        let order = other
+            .avoided
+            .cmp(&self.avoided)
+            .then(self.in_time.cmp(&other.in_time))
+            .then(by_time)
+            .then(other.left_milli.cmp(&self.left_milli));
+        order == Ordering::Greater
+    }
+}
+
+fn choose(world: &World, now: Time, task: TaskId) -> Option<WorkerId> {
+    let job = world.jobs.get(&task.job)?;
+    let step = &job.job.steps[task.step as usize];
+    let avoid = job.tasks.iter().find(|row| row.id == task)?.avoid;
+    let mut best: Option<Candidate> = None;
+    for row in world.workers.values() {
+        if !fits(world, now, row, job, step, task) {
+            continue;
+        }
+        let predicted = predict(world, now, row, step);
+        let candidate = Candidate {
+            worker: row.entry.id,
+            avoided: avoid == Some(row.entry.id),
+            in_time: now + predicted <= job.objective_at,
+            predicted,
+            left_milli: row.free().without(&step.need).cpu_milli,
+        };
+        if best.is_none_or(|best| candidate.better_than(&best)) {
+            best = Some(candidate);
+        }
+    }
+    best.map(|best| best.worker)
+}
+
+fn fits(
+    world: &World,
+    now: Time,
+    row: &Worker,
+    job: &RunnerJob,
+    step: &Step,
+    task: TaskId,
+) -> bool {
+    row.entry.upstream == job.job.terms.upstream
+        && row.is_usable(now, world.policy.worker_silence)
+        && row.admits_more()
+        && row.free().holds(&step.need)
+        && step
+            .label
+            .as_ref()
+            .is_none_or(|label| row.entry.has_label(label))
+        && step
+            .per_worker
+            .is_none_or(|limit| siblings(row, task) < limit)
+}
+
+/// Counts the runs of the same step on a worker.
+fn siblings(row: &Worker, task: TaskId) -> u32 {
+    let same = |run: &&Run| run.id.task.job == task.job && run.id.task.step == task.step;
+    u32::try_from(row.runs.values().filter(same).count()).unwrap_or(u32::MAX)
+}
+
+fn predict(world: &World, now: Time, row: &Worker, step: &Step) -> Duration {
+    let base = world.estimator.predict(step.estimate, row.entry.kind());
+    let near = step.near_rack.as_ref();
+    let far = near.is_some_and(|rack| !row.entry.has_label(rack));
+    let distance = if far { FAR_FACTOR } else { 1.0 };
+    base.mul_f64(row.health.slowness(now) * distance)
+}
+
+/// How much longer a task takes away from the rack of its data.
+const FAR_FACTOR: f64 = 1.5;
+
+fn start(world: &mut World, cx: &mut Cx<'_>, task: TaskId, worker: WorkerId) {
+    let lease = world.policy.lease;
+    let Some(row) = world.workers.get_mut(&worker) else {
+        return;
+    };
+    let token = row.token;
+    let Some(lease_end_ms) = row.extend_lease(cx.now, lease) else {
+        return;
+    };
+    let Some(row) = world.workers.get(&worker) else {
+        return;
+    };
+    let Some(job) = world.jobs.get(&task.job) else {
+        return;
+    };
+    let step = &job.job.steps[task.step as usize];
+    let predicted = predict(world, cx.now, row, step);
+    let (need, estimate): (Resources, Duration) = (step.need, step.estimate);
+    let payload = job.job.payload.clone();
+    let Some(job) = world.jobs.get_mut(&task.job) else {
+        return;
+    };
+    job.started = true;
+    let Some(entry) = job.task_mut(task) else {
+        return;
+    };
+    let run = RunId {
+        task,
+        number: entry.next_run,
+    };
+    entry.next_run += 1;
+    entry.state = TaskState::Active(worker);
+    world.stats.starts += 1;
+    world.add_run(
+        worker,
+        Run {
+            id: run,
+            need,
+            state: RunState::Starting,
+            ordered: cx.now,
+            estimate,
+            predicted,
+            tries: 1,
+        },
+    );
+    cx.order(Order::Start(Start {
+        worker,
+        run,
+        payload,
+        token,
+        lease_end_ms,
+    }));
+}
--- /dev/null
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -0,0 +1,248 @@
+//! Jobs whose clients called this VM: placement and answers.
+
+use super::{holding, runner};
+use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
+use crate::guarded::model::cell::CellLoad;
+use crate::guarded::model::ids::ClientJobId;
+use crate::guarded::model::job::Job;
+use crate::guarded::model::message::Message;
+use crate::guarded::order::Order;
+use crate::guarded::tables::entry_job::EntryJob;
+use crate::guarded::world::{Cx, World};
+use crate::model::ids::CallId;
+use crate::model::incarnation::Incarnation;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How much shorter the wait elsewhere must be for a job to leave its data centre.
+const SPILL_MARGIN: Duration = Duration::from_millis(30);
+/// Placements of a job at most, since runners that stop hand it back.
+const MAX_PLACEMENTS: u32 = 4;
+/// Time after which a client may try again when no runner is known.
+const NO_RUNNER_RETRY: Duration = Duration::from_secs(1);
+
+/// A client submits a job.
+pub fn submit(world: &mut World, cx: &mut Cx<'_>, call: CallId, job: Arc<Job>) {
+    world.stats.submitted += 1;
+    world.calls.insert(call, job.id);
+    if let Some(row) = world.entries.get_mut(&job.id) {
+        tracing::info!(job = %job.id, "the job is under way here already");
+        row.calls.push(call);
+        return;
+    }
+    let id = job.id;
+    let row = EntryJob {
+        job,
+        calls: vec![call],
+        submitted: cx.now,
+        runner: None,
+        placements: 0,
+    };
+    world.entries.insert(id, row);
+    place(world, cx, id);
+}
+
+/// Chooses a runner for a job and hands the job to it.
+fn place(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) {
+    let Some(row) = world.entries.get(&id) else {
+        return;
+    };
+    let job = Arc::clone(&row.job);
+    let Some(choice) = choose(world, cx, &job) else {
+        let answer = Answer::Refused {
+            cause: RefusalCause::NoRunner,
+            retry_after: NO_RUNNER_RETRY,
+        };
+        finish(world, cx, id, answer);
+        return;
+    };
+    let Some(row) = world.entries.get_mut(&id) else {
+        return;
+    };
+    row.runner = Some(choice.runner);
+    row.placements += 1;
+    let age = cx.now.since(row.submitted);
+    if choice.runner == world.me {
+        runner::accept(world, cx, world.me, job, age);
+        return;
+    }
+    world.stats.placed_remote += 1;
+    tracing::info!(
+        job = %id,
+        runner = %choice.runner.vm,
+        wait_ms = choice.wait.as_millis(),
+        load_age_ms = choice.load_age.as_millis(),
+        "job placed with a peer"
+    );
+    if let Some(member) = world.members.get_mut(&choice.runner) {
+        member.placed_milli += milli(&job);
+    }
+    cx.order(Order::Send {
+        to: choice.runner,
+        message: Message::Place { job, age },
+    });
+}
+
+/// A VM that could run a job.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    runner: Incarnation,
+    wait: Duration,
+    load_age: Duration,
+}
+
+/// Returns the runner with the shortest expected wait; those elsewhere must be better by a margin.
+fn choose(world: &World, cx: &Cx<'_>, job: &Job) -> Option<Choice> {
+    let need = milli(job);
+    let mut best: Option<(Duration, Choice)> = None;
+    let mut offer = |runner: Incarnation, load: &CellLoad, placed: u64, load_age: Duration| {
+        if load.capacity_milli == 0 {
+            return;
+        }
+        let load = CellLoad {
+            waiting_milli: load.waiting_milli + placed + need,
+            ..*load
+        };
+        let wait = load.expected_wait();
+        let near = load.cell.data_centre == world.site.data_centre;
+        let cost = if near { wait } else { wait + SPILL_MARGIN };
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            let choice = Choice {
+                runner,
+                wait,
+                load_age,
+            };
+            best = Some((cost, choice));
+        }
+    };
+    if world.is_serving() {
+        for load in holding::loads(world, cx.now) {
+            offer(world.me, &load, 0, Duration::ZERO);
+        }
+    }
+    for (&peer, row) in &world.members {
+        let age = cx.now.since(row.heard);
+        if !row.is_serving() || age >= world.policy.peer_silence {
+            continue;
+        }
+        for load in row.heartbeat.iter().flat_map(|beat| &beat.cells) {
+            offer(peer, load, row.placed_milli, age);
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+/// Returns the processor that the first tasks of a job need, in thousandths of a core.
+fn milli(job: &Job) -> u64 {
+    let first = job.steps.iter().filter(|step| step.after.is_empty());
+    first
+        .map(|step| u64::from(step.count) * step.need.cpu_milli)
+        .sum()
+}
+
+/// A peer says what became of a job that it ran for this VM.
+pub fn finished(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    from: Incarnation,
+    id: ClientJobId,
+    answer: Answer,
+) {
+    let row = world.entries.get(&id);
+    if row.is_some_and(|row| row.runner == Some(from)) {
+        job_over(world, cx, id, answer);
+    }
+}
+
+/// Answers the clients of the jobs that ended here.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    while let Some(over) = world.jobs_over.pop() {
+        let row = world.entries.get(&over.job);
+        if row.is_some_and(|row| row.runner == Some(world.me)) {
+            job_over(world, cx, over.job, over.answer);
+        }
+    }
+}
+
+fn job_over(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
+    let handed_back = matches!(
+        answer,
+        Answer::Refused {
+            cause: RefusalCause::Stopping,
+            ..
+        }
+    );
+    let again = world
+        .entries
+        .get(&id)
+        .is_some_and(|row| row.placements < MAX_PLACEMENTS);
+    if handed_back && again {
+        place(world, cx, id);
+    } else {
+        finish(world, cx, id, answer);
+    }
+}
+
+fn finish(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
+    let Some(row) = world.entries.remove(&id) else {
+        return;
+    };
+    let stats = &mut world.stats;
+    match answer {
+        Answer::Completed => stats.completed += 1,
+        Answer::Failed => stats.failed += 1,
+        Answer::Refused { .. } => stats.refused += 1,
+        Answer::Lost(_) => stats.lost += 1,
+    }
+    tracing::info!(
+        job = %id,
+        queue = %row.job.terms.queue,
+        ?answer,
+        runner = row.runner.map(|vm| vm.vm.0),
+        age_ms = cx.now.since(row.submitted).as_millis(),
+        placements = row.placements,
+        "job answered"
+    );
+    for call in row.calls {
+        world.calls.remove(&call);
+        cx.order(Order::Answer { call, answer });
+    }
+}
+
+/// A client left. Without others that wait for it, the job is withdrawn from its runner.
+pub fn abandon(world: &mut World, cx: &mut Cx<'_>, call: CallId) {
+    let Some(id) = world.calls.remove(&call) else {
+        return;
+    };
+    let Some(row) = world.entries.get_mut(&id) else {
+        return;
+    };
+    row.calls.retain(|known| *known != call);
+    if !row.calls.is_empty() {
+        return;
+    }
+    world.stats.abandoned += 1;
+    let runner = row.runner;
+    tracing::info!(job = %id, age_ms = cx.now.since(row.submitted).as_millis(), "the client left");
+    world.entries.remove(&id);
+    match runner {
+        Some(vm) if vm == world.me => runner::withdraw(world, cx, vm, id),
+        Some(vm) => cx.order(Order::Send {
+            to: vm,
+            message: Message::Withdraw { job: id },
+        }),
+        None => {}
+    }
+}
+
+/// Answers the clients of all jobs that ran at a peer that is gone.
+pub fn runner_lost(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
+    let at_peer = world
+        .entries
+        .values()
+        .filter(|row| row.runner == Some(peer));
+    let lost: Vec<_> = at_peer.map(|row| row.job.id).collect();
+    for id in lost {
+        finish(world, cx, id, Answer::Lost(LossCause::RunnerLost));
+    }
+}
--- /dev/null
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -0,0 +1,239 @@
+//! Which VM holds which worker.
+
+use crate::collections::FastMap;
+use crate::guarded::model::cell::{Cell, CellLoad};
+use crate::guarded::model::ids::WorkerId;
+use crate::guarded::model::worker::WorkerEntry;
+use crate::guarded::tables::worker::Hold;
+use crate::guarded::world::{Cx, Phase, World};
+use crate::model::ids::DataCentreId;
+use crate::model::incarnation::Incarnation;
+use crate::model::time::Time;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Time for which a VM must have been connected before a cell passes to it from one elsewhere.
+const HOME_AFTER: Duration = Duration::from_secs(1);
+
+/// Tells whether this VM claims the cell of a worker.
+pub fn is_claimed(world: &World, entry: &WorkerEntry) -> bool {
+    let mut cells = world.claimed.iter();
+    cells.any(|cell| cell.data_centre == entry.data_centre && cell.has(entry.id))
+}
+
+/// Returns the load of the cells that this VM holds.
+pub fn loads(world: &World, now: Time) -> Vec<CellLoad> {
+    let waiting_milli = waiting_milli(world);
+    let cells = world.claimed.iter().map(|&cell| {
+        let mut load = CellLoad {
+            cell,
+            capacity_milli: 0,
+            free_milli: 0,
+            waiting_milli,
+            mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
+        };
+        let rows = world.workers.values().filter(|row| {
+            row.entry.data_centre == cell.data_centre
+                && cell.has(row.entry.id)
+                && row.is_usable(now, world.policy.worker_silence * 2)
+        });
+        for row in rows {
+            load.capacity_milli += row.entry.capacity.cpu_milli;
+            load.free_milli += row.free().cpu_milli;
+        }
+        load
+    });
+    cells.collect()
+}
+
+/// Returns the processor that waiting tasks need, in thousandths of a core.
+pub fn waiting_milli(world: &World) -> u64 {
+    let jobs = world.jobs.values();
+    jobs.flat_map(|job| {
+        job.due_tasks()
+            .map(|task| job.job.steps[task.id.step as usize].need.cpu_milli)
+    })
+    .sum()
+}
+
+/// Decides the cells of this VM, then takes over and releases workers accordingly.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    if cx.now < world.settled_at {
+        return;
+    }
+    let cells = cells(world);
+    let mine: BTreeSet<Cell> = cells
+        .into_iter()
+        .filter(|cell| holder(world, cx.now, cell) == Some(world.me))
+        .collect();
+    if mine != world.claimed {
+        tracing::info!(
+            cells = mine.len(),
+            before = world.claimed.len(),
+            peers = world.members.len(),
+            leaving = !world.is_serving(),
+            "the cells of this VM have changed"
+        );
+        world.yielding = world.claimed.difference(&mine).copied().collect();
+        world.claimed = mine;
+        world.heartbeat_due = true;
+    }
+    release_idle(world);
+    take_over(world, cx);
+}
+
+/// Returns all cells that the registry's workers form.
+fn cells(world: &World) -> BTreeSet<Cell> {
+    let mut workers: FastMap<DataCentreId, usize> = FastMap::default();
+    for row in world.workers.values() {
+        *workers.entry(row.entry.data_centre).or_default() += 1;
+    }
+    let cells = workers.into_iter().flat_map(|(data_centre, count)| {
+        let of = Cell::count(count);
+        (0..of).map(move |index| Cell {
+            data_centre,
+            of,
+            index,
+        })
+    });
+    cells.collect()
+}
+
+/// Returns the VM that should hold a cell: a live holder keeps it unless the cell has come from
+/// another data centre and could go home; of several claims, and without one, the first in
+/// rendezvous order wins.
+fn holder(world: &World, now: Time, cell: &Cell) -> Option<Incarnation> {
+    let home: Vec<_> = candidates(world, now, HOME_AFTER)
+        .filter(|(vm, _)| vm.data_centre == cell.data_centre)
+        .collect();
+    let live: Vec<_> = candidates(world, now, Duration::ZERO).collect();
+    let at_home: Vec<_> = live
+        .iter()
+        .copied()
+        .filter(|(vm, _)| vm.data_centre == cell.data_centre)
+        .collect();
+    let eligible = if !home.is_empty() {
+        home
+    } else if !at_home.is_empty() {
+        at_home
+    } else {
+        live
+    };
+    let claims = |vm: Incarnation| {
+        if vm == world.me {
+            world.claimed.contains(cell)
+        } else {
+            world.members.get(&vm).is_some_and(|row| row.holds(cell))
+        }
+    };
+    let claimants = eligible.iter().copied().filter(|(vm, _)| claims(*vm));
+    first_in_order(cell, claimants).or_else(|| first_in_order(cell, eligible.iter().copied()))
+}
+
+/// Iterates over the VMs that serve, with their weights.
+fn candidates(
+    world: &World,
+    now: Time,
+    connected_for: Duration,
+) -> impl Iterator<Item = (Incarnation, u32)> {
+    let me = world
+        .is_serving()
+        .then_some((world.me, world.site.weight))
+        .into_iter();
+    let silence = world.policy.peer_silence;
+    let peers = world.members.iter().filter(move |(_, row)| {
+        let live = now.since(row.heard) < silence && now.since(row.since) >= connected_for;
+        live && row.is_serving()
+    });
+    me.chain(peers.map(|(&vm, row)| (vm, row.weight())))
+}
+
+fn first_in_order(
+    cell: &Cell,
+    vms: impl Iterator<Item = (Incarnation, u32)>,
+) -> Option<Incarnation> {
+    vms.map(|(vm, weight)| (rendezvous_score(cell, vm, weight), vm))
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, vm)| vm)
+}
+
+/// Scores a VM for a cell by weighted rendezvous hashing.
+fn rendezvous_score(cell: &Cell, vm: Incarnation, weight: u32) -> f64 {
+    let cell_key = (u64::from(cell.of) << 32 | u64::from(cell.index)) ^ cell.data_centre.0;
+    let hash = mix(mix(cell_key) ^ mix(vm.vm.0) ^ mix(vm.nonce));
+    #[allow(clippy::cast_precision_loss, reason = "a hash as a fraction")]
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -f64::from(weight) / unit.ln()
+}
+
+/// Spreads the bits of a number (the finalizer of splitmix64).
+const fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Lets go of workers of cells that this VM does not claim, as soon as nothing of it runs there.
+fn release_idle(world: &mut World) {
+    let waiting = world
+        .jobs
+        .values()
+        .any(|job| job.due_tasks().next().is_some());
+    let stopping = matches!(world.phase, Phase::Stopping(_));
+    let idle: Vec<WorkerId> = world
+        .workers
+        .values()
+        .filter(|row| matches!(row.hold, Hold::Held | Hold::Taking))
+        .filter(|row| row.runs.is_empty() && !is_claimed(world, &row.entry))
+        .map(|row| row.entry.id)
+        .collect();
+    // Jobs that have begun keep the workers that they may need, unless others serve as well.
+    if waiting && stopping && world.claimed.is_empty() {
+        return;
+    }
+    for id in idle {
+        release(world, id);
+    }
+}
+
+fn release(world: &mut World, id: WorkerId) {
+    if let Some(row) = world.workers.get_mut(&id) {
+        row.hold = Hold::None;
+        row.look = None;
+        world.heartbeat_due = true;
+        tracing::info!(worker = %id, token = row.token.0, "worker released");
+    }
+}
+
+/// Begins to take over the workers of the claimed cells that no other VM holds.
+fn take_over(world: &mut World, cx: &mut Cx<'_>) {
+    let wanted: Vec<WorkerId> = world
+        .workers
+        .values()
+        .filter(|row| match row.hold {
+            Hold::None => true,
+            Hold::Fenced(until) => cx.now >= until,
+            Hold::Taking | Hold::Held => false,
+        })
+        .filter(|row| row.missing_since.is_none() && is_claimed(world, &row.entry))
+        .map(|row| row.entry.id)
+        .filter(|&id| !world.members.values().any(|peer| peer.still_holds(id)))
+        .collect();
+    for id in wanted {
+        begin_taking(world, cx, id);
+    }
+}
+
+/// Begins to take over a worker with a new token. Nothing runs there under that token until each
+/// run that was found there has ended.
+pub fn begin_taking(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
+    let token = world.next_token(cx.unix_ms);
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    row.hold = Hold::Taking;
+    row.token = token;
+    row.look = None;
+    world.stats.takeovers += 1;
+    tracing::info!(worker = %id, token = token.0, "taking a worker over");
+}
--- /dev/null
+++ b/crates/core/src/guarded/systems/looks.rs
@@ -0,0 +1,223 @@
+//! Looks at workers: leases, ends of runs, and what is there.
+
+use super::holding;
+use crate::guarded::model::ids::{RunId, WorkerId};
+use crate::guarded::model::reply::{Listing, LookReply, RunEnd};
+use crate::guarded::model::resources::Resources;
+use crate::guarded::order::{Look, Order};
+use crate::guarded::tables::worker::{Hold, PendingLook, Run, RunState};
+use crate::guarded::world::{Cx, World};
+use crate::model::time::Time;
+use std::time::Duration;
+
+/// Time for which a look waits while the runs of another holder end.
+const TAKING_WAIT: Duration = Duration::from_millis(20);
+/// Time after which a worker that another VM took over is tried again.
+const FENCED_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time after which a stop without an answer is repeated.
+const STOP_RETRY: Duration = Duration::from_millis(60);
+
+/// Orders the next look at each held worker that has none under way.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    let due: Vec<WorkerId> = world
+        .workers
+        .values()
+        .filter(|row| matches!(row.hold, Hold::Held | Hold::Taking) && row.look.is_none())
+        .map(|row| row.entry.id)
+        .collect();
+    for id in due {
+        order_look(world, cx, id);
+    }
+}
+
+fn order_look(world: &mut World, cx: &mut Cx<'_>, id: WorkerId) {
+    let number = world.next_look();
+    let policy = world.policy;
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    row.look = Some(PendingLook {
+        number,
+        sent: cx.now,
+    });
+    let fresh = cx.now.since(row.answered) < policy.worker_silence;
+    let (lease_end_ms, wait) = match row.hold {
+        Hold::Held if fresh => (row.extend_lease(cx.now, policy.lease), policy.look_wait),
+        Hold::Held => (row.extend_lease(cx.now, policy.lease), Duration::ZERO),
+        _ if row.runs.is_empty() => (None, Duration::ZERO),
+        _ => (None, TAKING_WAIT),
+    };
+    world.stats.looks += 1;
+    cx.order(Order::Look(Look {
+        worker: id,
+        look: number,
+        token: row.token,
+        lease_end_ms,
+        last_seen: row.last_seen,
+        wait,
+    }));
+}
+
+/// Takes in the reply to a look.
+pub fn replied(world: &mut World, cx: &mut Cx<'_>, id: WorkerId, look: u64, reply: LookReply) {
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    let Some(pending) = row.look.filter(|pending| pending.number == look) else {
+        return;
+    };
+    row.look = None;
+    match reply {
+        LookReply::Listed(listing) => listed(world, cx, id, pending.sent, listing),
+        LookReply::Fenced => fenced(world, cx.now, id),
+        LookReply::OtherBoot => rebooted(world, cx, id, None),
+        LookReply::Silent => world.stats.silent_orders += 1,
+    }
+}
+
+/// Another VM has taken the worker over. It stops what runs there; what this VM started counts as
+/// there until its lease has lapsed for certain.
+pub fn fenced(world: &mut World, now: Time, id: WorkerId) {
+    world.skip_tokens();
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    let was_taking = row.hold == Hold::Taking;
+    // A token that was too low from the start is raised at once; a worker that was lost is left to
+    // the VM that took it.
+    let pause = if was_taking {
+        Duration::ZERO
+    } else {
+        FENCED_PAUSE
+    };
+    row.hold = Hold::Fenced(now + pause);
+    row.look = None;
+    tracing::info!(worker = %id, token = row.token.0, was_taking, "a worker saw a higher token");
+}
+
+/// The worker has started anew: nothing of before is there.
+pub fn rebooted(world: &mut World, cx: &mut Cx<'_>, id: WorkerId, boot: Option<u64>) {
+    tracing::info!(worker = %id, boot, "a worker has started anew");
+    world.end_all_runs(id, RunEnd::Broken);
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    row.forget_clock();
+    row.boot = boot;
+    row.last_seen = 0;
+    holding::begin_taking(world, cx, id);
+}
+
+fn listed(world: &mut World, cx: &mut Cx<'_>, id: WorkerId, sent: Time, listing: Listing) {
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    if row.boot.is_some() && listing.boot.is_some() && row.boot != listing.boot {
+        rebooted(world, cx, id, listing.boot);
+        return;
+    }
+    row.boot = listing.boot.or(row.boot);
+    row.answered = cx.now;
+    row.read_clock(cx.now, listing.clock_ms);
+    take_ends(world, id, &listing);
+    take_running(world, cx, id, &listing);
+    end_missing(world, id, sent, &listing);
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    if row.hold == Hold::Taking && row.runs.is_empty() {
+        row.hold = Hold::Held;
+        tracing::info!(worker = %id, token = row.token.0, "worker held");
+    }
+}
+
+/// Takes in the ends, which the next look acknowledges.
+fn take_ends(world: &mut World, id: WorkerId, listing: &Listing) {
+    for ended in &listing.ended {
+        let Some(row) = world.workers.get_mut(&id) else {
+            return;
+        };
+        row.last_seen = row.last_seen.max(ended.number);
+        let task = ended.run.task;
+        if row.runs.get(&task).is_some_and(|run| run.id == ended.run) {
+            world.end_run(id, task, Some(ended.end));
+        }
+    }
+}
+
+/// Takes in what is there: confirms starts, and stops what this VM did not start.
+fn take_running(world: &mut World, cx: &Cx<'_>, id: WorkerId, listing: &Listing) {
+    for running in &listing.running {
+        let ended = listing.ended.iter().any(|ended| ended.run == running.run);
+        let Some(row) = world.workers.get_mut(&id) else {
+            return;
+        };
+        match row.runs.get_mut(&running.run.task) {
+            Some(run) if run.id == running.run => {
+                confirm_or_stop(&mut world.stops, cx.now, id, run);
+            }
+            _ if ended => {}
+            Some(_) => world.stops.push((id, running.run)),
+            None => add_unknown(world, cx.now, id, running.run),
+        }
+    }
+}
+
+/// Confirms a start, or repeats a stop that seems to be lost.
+fn confirm_or_stop(stops: &mut Vec<(WorkerId, RunId)>, now: Time, id: WorkerId, run: &mut Run) {
+    match &mut run.state {
+        RunState::Starting => run.state = RunState::Running(now),
+        RunState::Stopping {
+            ordered,
+            acked: None,
+        } if now.since(*ordered) > STOP_RETRY => {
+            *ordered = now;
+            stops.push((id, run.id));
+        }
+        RunState::Running(_) | RunState::Stopping { .. } => {}
+    }
+}
+
+/// Keeps account of a run that this VM did not start, until it has been stopped.
+fn add_unknown(world: &mut World, now: Time, worker: WorkerId, id: RunId) {
+    tracing::info!(%worker, run = %id, "stopping a run that another holder started");
+    let run = Run {
+        id,
+        need: Resources::default(),
+        state: RunState::Stopping {
+            ordered: now,
+            acked: None,
+        },
+        ordered: now,
+        estimate: Duration::ZERO,
+        predicted: Duration::ZERO,
+        tries: 0,
+    };
+    world.add_run(worker, run);
+    world.stops.push((worker, id));
+}
+
+/// Ends the runs that the worker does not list, if it would list them: their start was confirmed,
+/// or their stop acknowledged, before the look was sent. While a worker is taken over no run has
+/// the present token, and an order with an earlier one is refused from now on.
+fn end_missing(world: &mut World, id: WorkerId, sent: Time, listing: &Listing) {
+    let Some(row) = world.workers.get(&id) else {
+        return;
+    };
+    let is_listed = |run: &Run| listing.running.iter().any(|row| row.run == run.id);
+    let missing: Vec<_> = row
+        .runs
+        .values()
+        .filter(|run| !is_listed(run))
+        .filter(|run| match run.state {
+            _ if row.hold == Hold::Taking => true,
+            RunState::Starting => false,
+            RunState::Running(since) => since < sent,
+            RunState::Stopping { acked, .. } => acked.is_some_and(|acked| acked < sent),
+        })
+        .map(|run| run.id.task)
+        .collect();
+    for task in missing {
+        world.end_run(id, task, None);
+    }
+}
--- /dev/null
+++ b/crates/core/src/guarded/systems/members.rs
@@ -0,0 +1,75 @@
+//! Peers and heartbeats.
+
+use super::holding;
+use crate::guarded::model::message::{Heartbeat, Message};
+use crate::guarded::order::Order;
+use crate::guarded::tables::member::MemberRow;
+use crate::guarded::tables::worker::Hold;
+use crate::guarded::world::{Cx, World};
+use crate::model::incarnation::Incarnation;
+use std::sync::Arc;
+
+/// A peer connected.
+pub fn peer_up(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
+    // An earlier incarnation of the VM is gone.
+    world.members.retain(|known, _| known.vm != peer.vm);
+    world.members.insert(peer, MemberRow::new(cx.now));
+    let heartbeat = Message::Heartbeat(heartbeat(world, cx));
+    cx.order(Order::Send {
+        to: peer,
+        message: heartbeat,
+    });
+}
+
+/// A connection was lost. Jobs that depend on it are given up by the systems that follow.
+pub fn peer_down(world: &mut World, peer: Incarnation) {
+    world.members.remove(&peer);
+}
+
+/// A heartbeat came.
+pub fn heartbeat_received(world: &mut World, cx: &mut Cx<'_>, from: Incarnation, beat: Heartbeat) {
+    world.saw_token(beat.token);
+    let version = world.queues_version();
+    let Some(row) = world.members.get_mut(&from) else {
+        return;
+    };
+    row.heard = cx.now;
+    row.placed_milli = 0;
+    let behind = beat.queues_version < version && row.sent_version < version;
+    row.heartbeat = Some(beat);
+    if behind && let Some(table) = &world.queues {
+        row.sent_version = version;
+        cx.order(Order::Send {
+            to: from,
+            message: Message::Queues(Arc::clone(table)),
+        });
+    }
+}
+
+/// Sends a heartbeat to all peers.
+pub fn send_heartbeats(world: &World, cx: &mut Cx<'_>) {
+    let beat = heartbeat(world, cx);
+    for &peer in world.members.keys() {
+        cx.order(Order::Send {
+            to: peer,
+            message: Message::Heartbeat(beat.clone()),
+        });
+    }
+}
+
+fn heartbeat(world: &World, cx: &Cx<'_>) -> Heartbeat {
+    let held = world.workers.values();
+    let still_held = held.filter(|row| {
+        let holds = matches!(row.hold, Hold::Held | Hold::Taking);
+        holds && !holding::is_claimed(world, &row.entry)
+    });
+    Heartbeat {
+        weight: world.site.weight,
+        leaving: !world.is_serving(),
+        queues_version: world.queues_version(),
+        token: world.token.0,
+        cells: holding::loads(world, cx.now),
+        yielding: world.yielding.iter().copied().collect(),
+        still_held: still_held.map(|row| row.entry.id).collect(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -0,0 +1,8 @@
+//! Tables of the entities that the systems work on.
+
+pub mod entry_job;
+pub mod estimator;
+pub mod member;
+pub mod recent;
+pub mod runner_job;
+pub mod worker;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod action;
 pub mod collections;
 pub mod event;
+pub mod guarded;
 pub mod model;
 pub mod node;
 pub mod policy;
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -58,21 +58,30 @@
 }
 
 /// Timers in order of their time, ties in order of subscription.
-#[derive(Debug, Default)]
-pub struct TimerService {
-    heap: BinaryHeap<Reverse<(Time, u64, Timer)>>,
+#[derive(Debug)]
+pub struct TimerService<T> {
+    heap: BinaryHeap<Reverse<(Time, u64, T)>>,
     next: u64,
 }
 
-impl TimerService {
+impl<T: Ord> Default for TimerService<T> {
+    fn default() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<T: Ord> TimerService<T> {
     /// Subscribes to `timer` at `at`.
-    pub fn subscribe(&mut self, at: Time, timer: Timer) {
+    pub fn subscribe(&mut self, at: Time, timer: T) {
         self.heap.push(Reverse((at, self.next, timer)));
         self.next += 1;
     }
 
     /// Takes the next timer whose time is `now` or earlier.
-    pub fn take_due(&mut self, now: Time) -> Option<Timer> {
+    pub fn take_due(&mut self, now: Time) -> Option<T> {
         let Reverse((at, _, _)) = self.heap.peek()?;
         if *at > now {
             return None;
--- a/crates/core/src/world.rs
+++ b/crates/core/src/world.rs
@@ -110,7 +110,7 @@
     pub config: Option<Arc<Configuration>>,
     pub vm_list: Option<Arc<VmList>>,
     pub delisted: FastMap<VmId, Time>,
-    pub timers: TimerService,
+    pub timers: TimerService<Timer>,
     pub counters: Counters,
     pub open_tasks: usize,
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::settings::Settings;
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::job_id::IdKey;
+use cardamomslip_core::model::message::Message;
 use cardamomslip_core::{Event, Identity, Node};
 use stakker::{ActorOwn, Stakker, actor, call, ret_shutdown};
 use std::net::SocketAddr;
@@ -171,7 +172,7 @@
 struct Parts {
     around: Surroundings,
     server: HttpServer,
-    peers: PeerHub,
+    peers: PeerHub<Message>,
     watches: Vec<JoinHandle<()>>,
     stop: Arc<AtomicBool>,
 }
@@ -240,7 +241,7 @@
     me: Incarnation,
     tx: &InputSender,
     runtime: &tokio::runtime::Runtime,
-) -> Result<PeerHub, Error> {
+) -> Result<PeerHub<Message>, Error> {
     let silence = Duration::from_millis(settings.timing.peer_silence_ms);
     let secret = settings.peer_secret.clone();
     let seeds = settings.peers.clone();
--- a/src/executors/http.rs
+++ b/src/executors/http.rs
@@ -1,8 +1,8 @@
 //! Executors over HTTP.
 
 use super::ExecutorClient;
-use super::pool::{Pool, PoolError};
 use super::wire::{AbortBody, EndBody, EndStatus, RefusalCause, StartBody};
+use crate::http::{Pool, PoolError};
 use cardamomslip_core::collections::FastMap;
 use cardamomslip_core::model::ids::{AttemptId, ExecutorId};
 use cardamomslip_core::model::incarnation::Incarnation;
--- a/src/executors/mod.rs
+++ b/src/executors/mod.rs
@@ -1,7 +1,6 @@
 //! Executors. The protocol is behind [`ExecutorClient`], so that another can be fitted.
 
 mod http;
-mod pool;
 mod wire;
 
 pub use http::HttpExecutors;
--- /dev/null
+++ b/src/guarded/actor.rs
@@ -0,0 +1,176 @@
+//! The actor around the core's dispatcher.
+
+use super::input::Input;
+use super::metrics::DispatcherMetrics;
+use super::ports::{Answerer, Ports, WorkerClient};
+use crate::peers::PeerHub;
+use cardamomslip_core::collections::FastMap;
+use cardamomslip_core::guarded::model::message::Message;
+use cardamomslip_core::guarded::{Dispatcher, Event, Order};
+use cardamomslip_core::model::ids::CallId;
+use cardamomslip_core::model::time::Time;
+use stakker::{CX, MaxTimerKey, call, timer_max};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Longest time between two ticks.
+const MAX_TICK: Duration = Duration::from_millis(250);
+/// Interval at which callers that left are looked for.
+const ABANDON_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval at which the metrics take in the counters.
+const METRICS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A caller that waits for its answer.
+#[derive(Debug)]
+struct PendingCall<A> {
+    answerer: A,
+    since: Instant,
+}
+
+/// The actor around the core's dispatcher: feeds it events and carries out its orders.
+#[derive(Debug)]
+pub struct DispatcherActor<P: Ports> {
+    dispatcher: Dispatcher,
+    ports: P,
+    peers: PeerHub<Message>,
+    metrics: DispatcherMetrics,
+    epoch: Instant,
+    calls: FastMap<CallId, PendingCall<P::Answerer>>,
+    next_call: u64,
+    orders: Vec<Order>,
+    flush_pending: bool,
+    tick_timer: MaxTimerKey,
+    abandon_checked: Instant,
+    metrics_taken: Instant,
+}
+
+impl<P: Ports> DispatcherActor<P> {
+    /// Starts the actor.
+    pub fn init(
+        cx: CX![],
+        dispatcher: Dispatcher,
+        ports: P,
+        peers: PeerHub<Message>,
+        metrics: DispatcherMetrics,
+    ) -> Option<Self> {
+        call!([cx], flush());
+        Some(Self {
+            dispatcher,
+            ports,
+            peers,
+            metrics,
+            epoch: cx.now(),
+            calls: FastMap::default(),
+            next_call: 0,
+            orders: Vec::new(),
+            flush_pending: true,
+            tick_timer: MaxTimerKey::default(),
+            abandon_checked: cx.now(),
+            metrics_taken: cx.now(),
+        })
+    }
+
+    fn time(&self, now: Instant) -> Time {
+        let micros = now.duration_since(self.epoch).as_micros();
+        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Takes in an input. Inputs of one batch are flushed together.
+    pub fn input(&mut self, cx: CX![], input: Input<P::Answerer>) {
+        let event = match input {
+            Input::Event(event) => event,
+            Input::Submit(answerer, job) => {
+                let call = CallId(self.next_call);
+                self.next_call += 1;
+                let since = cx.now();
+                self.calls.insert(call, PendingCall { answerer, since });
+                Event::Submit { call, job }
+            }
+        };
+        self.handle(cx.now(), event);
+        if !self.flush_pending {
+            self.flush_pending = true;
+            call!([cx], flush());
+        }
+    }
+
+    fn handle(&mut self, now: Instant, event: Event) {
+        let time = self.time(now);
+        self.dispatcher
+            .handle(time, unix_ms(), event, &mut self.orders);
+    }
+
+    /// Runs the systems and carries out the orders.
+    pub fn flush(&mut self, cx: CX![]) {
+        self.flush_pending = false;
+        let now = cx.now();
+        self.report_abandoned(now);
+        self.dispatcher
+            .tick(self.time(now), unix_ms(), &mut self.orders);
+        let orders = std::mem::take(&mut self.orders);
+        for order in orders {
+            self.carry_out(cx, order);
+        }
+        self.ports.set_ready(self.dispatcher.is_ready());
+        if now.duration_since(self.metrics_taken) >= METRICS_INTERVAL {
+            self.metrics_taken = now;
+            self.metrics.record_stats(&self.dispatcher.stats());
+        }
+        self.schedule_tick(cx);
+    }
+
+    fn schedule_tick(&mut self, cx: CX![]) {
+        let now = self.time(cx.now());
+        let next = self.dispatcher.next_tick();
+        let wait = next.map_or(MAX_TICK, |at| at.since(now)).min(MAX_TICK);
+        cx.timer_max_del(self.tick_timer);
+        self.tick_timer = MaxTimerKey::default();
+        timer_max!(&mut self.tick_timer, cx.now() + wait, [cx], flush());
+    }
+
+    /// Tells the dispatcher of callers that left.
+    fn report_abandoned(&mut self, now: Instant) {
+        if now.duration_since(self.abandon_checked) < ABANDON_INTERVAL {
+            return;
+        }
+        self.abandon_checked = now;
+        let gone: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, pending)| pending.answerer.is_abandoned())
+            .map(|(&call, _)| call)
+            .collect();
+        for call in gone {
+            self.calls.remove(&call);
+            self.handle(now, Event::Abandon(call));
+        }
+    }
+
+    fn carry_out(&mut self, cx: CX![], order: Order) {
+        match order {
+            Order::Answer { call, answer } => {
+                if let Some(pending) = self.calls.remove(&call) {
+                    let span = cx.now().duration_since(pending.since);
+                    self.metrics.record_answer(answer, span);
+                    pending.answerer.close(answer);
+                }
+            }
+            Order::Send { to, message } => self.peers.send(to, message),
+            Order::Look(look) => self.ports.workers().look(look),
+            Order::Start(start) => self.ports.workers().start(start),
+            Order::Stop { worker, run, token } => self.ports.workers().stop(worker, run, token),
+            Order::AdoptQueues(queues) => self.ports.adopt(&queues),
+            Order::Closed => {
+                tracing::info!("closed");
+                cx.stop();
+            }
+        }
+    }
+}
+
+/// Returns the time of day, 0 if it is before 1970.
+fn unix_ms() -> u64 {
+    let passed = SystemTime::now().duration_since(UNIX_EPOCH);
+    passed.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/src/guarded/metrics.rs
@@ -0,0 +1,86 @@
+//! Metrics of the dispatcher.
+
+use cardamomslip_core::guarded::Stats;
+use cardamomslip_core::guarded::model::answer::Answer;
+use metrics::{counter, gauge, histogram, with_local_recorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Upper bounds of the latency histogram, in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0];
+
+/// Metrics of one dispatcher. Clones share the recorder.
+#[derive(Clone)]
+pub struct DispatcherMetrics {
+    recorder: Arc<PrometheusRecorder>,
+    handle: PrometheusHandle,
+}
+
+impl std::fmt::Debug for DispatcherMetrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("DispatcherMetrics")
+    }
+}
+
+impl Default for DispatcherMetrics {
+    fn default() -> Self {
+        let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
+        let recorder = builder
+            .expect("the bounds of the histogram are not empty")
+            .build_recorder();
+        let handle = recorder.handle();
+        Self {
+            recorder: Arc::new(recorder),
+            handle,
+        }
+    }
+}
+
+impl DispatcherMetrics {
+    /// Records an answer and the time that it took.
+    pub fn record_answer(&self, answer: Answer, span: Duration) {
+        let (outcome, cause) = match answer {
+            Answer::Completed => ("completed", ""),
+            Answer::Failed => ("failed", ""),
+            Answer::Refused { cause, .. } => ("refused", cause.name()),
+            Answer::Lost(cause) => ("lost", cause.name()),
+        };
+        with_local_recorder(&*self.recorder, || {
+            counter!("cardamomslip_answers_total", "outcome" => outcome, "cause" => cause)
+                .increment(1);
+            histogram!("cardamomslip_answer_seconds", "outcome" => outcome).record(span);
+        });
+    }
+
+    /// Records a snapshot.
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "gauges are floating-point numbers"
+    )]
+    pub fn record_stats(&self, stats: &Stats) {
+        with_local_recorder(&*self.recorder, || {
+            counter!("cardamomslip_submitted_total").absolute(stats.submitted);
+            counter!("cardamomslip_abandoned_total").absolute(stats.abandoned);
+            counter!("cardamomslip_placed_remote_total").absolute(stats.placed_remote);
+            counter!("cardamomslip_starts_total").absolute(stats.starts);
+            counter!("cardamomslip_starts_refused_total").absolute(stats.starts_refused);
+            counter!("cardamomslip_orders_silent_total").absolute(stats.silent_orders);
+            counter!("cardamomslip_stops_total").absolute(stats.stops);
+            counter!("cardamomslip_looks_total").absolute(stats.looks);
+            counter!("cardamomslip_takeovers_total").absolute(stats.takeovers);
+            counter!("cardamomslip_lapses_total").absolute(stats.lapses);
+            counter!("cardamomslip_ejections_total").absolute(stats.ejections);
+            gauge!("cardamomslip_held_workers").set(stats.held_workers as f64);
+            gauge!("cardamomslip_waiting_tasks").set(stats.waiting_tasks as f64);
+            gauge!("cardamomslip_running").set(stats.running as f64);
+        });
+    }
+
+    /// Renders all metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+}
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -109,6 +109,12 @@
         self.body.as_deref()
     }
 
+    /// Tells whether the caller's connection ended, so that nobody can be answered.
+    #[must_use]
+    pub fn is_abandoned(&self) -> bool {
+        self.tx.is_closed()
+    }
+
     /// Answers. A caller that went away is no fault.
     pub fn close_with(self, reply: Reply) {
         if self.tx.send(reply).is_err() {
--- a/src/executors/pool.rs
+++ b/src/http/pool.rs
@@ -1,4 +1,4 @@
-//! Connections to one executor.
+//! Connections of a client to one server.
 
 use http_body_util::Full;
 use hyper::Request;
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 /// The sending end of a connection.
-type Sender = SendRequest<Full<Bytes>>;
+pub type Sender = SendRequest<Full<Bytes>>;
 
 /// Why a request has no response.
 #[derive(Debug, thiserror::Error)]
@@ -32,7 +32,7 @@
     since: Instant,
 }
 
-/// Connections to one executor. Clones share them.
+/// Connections to one server. Clones share them.
 #[derive(Clone, Debug)]
 pub struct Pool {
     address: Arc<str>,
@@ -52,6 +52,7 @@
 impl Pool {
     /// Builds a pool without connections. A connection that was idle for `idle_age` is not used
     /// again, since a start on a dead one would have an ambiguous outcome.
+    #[must_use]
     pub fn new(address: Arc<str>, idle_age: Duration, connect_timeout: Duration) -> Self {
         Self {
             address,
@@ -61,7 +62,8 @@
         }
     }
 
-    /// Returns the address of the executor.
+    /// Returns the address of the server.
+    #[must_use]
     pub fn address(&self) -> &str {
         &self.address
     }
@@ -141,7 +143,7 @@
         let (sender, connection) = shaken.map_err(|e| unsent(e.to_string()))?;
         tokio::spawn(async move {
             if let Err(e) = connection.await {
-                tracing::debug!(error = %e, "connection to an executor broke");
+                tracing::debug!(error = %e, "connection to a server broke");
             }
         });
         Ok(sender)
@@ -150,6 +152,7 @@
 
 impl PooledResponse {
     /// Splits the response from its connection.
+    #[must_use]
     pub fn into_parts(self) -> (hyper::Response<Incoming>, Sender) {
         (self.response, self.sender)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod daemon;
 pub mod error;
 pub mod executors;
+pub mod guarded;
 pub mod http;
 pub mod input;
 pub mod names;
--- a/src/node_actor.rs
+++ b/src/node_actor.rs
@@ -8,11 +8,12 @@
 use crate::operators::{
     ExecutorStatus, NodeMetrics, OperatorApi, StatusReport, respond_change, respond_drain,
 };
-use crate::peers::PeerHub;
+use crate::peers::{ListedPeer, PeerHub};
 use crate::platform::PlatformLink;
 use cardamomslip_core::collections::FastMap;
 use cardamomslip_core::model::configuration::Configuration;
 use cardamomslip_core::model::ids::{CallId, CustomerId, StoreOpId};
+use cardamomslip_core::model::message::Message;
 use cardamomslip_core::model::request::{Response, StartOrder};
 use cardamomslip_core::model::store::StoreOp;
 use cardamomslip_core::model::time::Time;
@@ -43,7 +44,7 @@
     /// The platform.
     pub platform: PlatformLink,
     /// Peers.
-    pub peers: PeerHub,
+    pub peers: PeerHub<Message>,
     /// Who may do what.
     pub auth: AuthTable,
     /// The operators' resources.
@@ -265,7 +266,7 @@
     fn adopt_vm_list(&self, list: Arc<VmList>) {
         tracing::debug!(revision = list.revision, "VM list in use");
         self.around.executors.take_list(&list);
-        self.around.peers.take_list(list);
+        self.around.peers.take_list(listed_peers(&list));
     }
 
     fn report(&self, now: Time) -> StatusReport {
@@ -293,3 +294,17 @@
         cx.stop();
     }
 }
+
+/// Returns the entry VMs of a list whose addresses can be dialled.
+fn listed_peers(list: &VmList) -> Vec<ListedPeer> {
+    let peer = |address: &str| address.parse().ok();
+    list.entries
+        .iter()
+        .filter_map(|vm| {
+            Some(ListedPeer {
+                vm: vm.id,
+                address: peer(&vm.peer_address)?,
+            })
+        })
+        .collect()
+}
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -1,15 +1,11 @@
 //! All connections to peers.
 
 use super::link::{self, LinkConfig, LinkError};
-use super::wire::encode;
+use super::protocol::{PeerMessage, PeerSink};
 use crate::error::{Error, ErrorKind};
-use crate::input::InputSender;
-use cardamomslip_core::Event;
 use cardamomslip_core::collections::{FastMap, FastSet};
 use cardamomslip_core::model::ids::VmId;
 use cardamomslip_core::model::incarnation::Incarnation;
-use cardamomslip_core::model::message::Message;
-use cardamomslip_core::model::vm_list::VmList;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,7 +30,7 @@
     pub link: LinkConfig,
     /// Address to listen on.
     pub listen: SocketAddr,
-    /// Peers to connect to before the VM list is known.
+    /// Peers to connect to before any are listed.
     pub seeds: Vec<SocketAddr>,
 }
 
@@ -62,7 +58,7 @@
 
 /// What happens at the hub.
 #[derive(Debug)]
-pub enum HubEvent {
+pub enum HubEvent<M> {
     /// A connection is established.
     Up {
         peer: Incarnation,
@@ -75,15 +71,12 @@
     Message {
         peer: Incarnation,
         number: u64,
-        message: Box<Message>,
+        message: Box<M>,
     },
     /// The node sends a message.
-    Send {
-        to: Incarnation,
-        message: Box<Message>,
-    },
-    /// A newer VM list.
-    VmList(Arc<VmList>),
+    Send { to: Incarnation, message: Box<M> },
+    /// A newer list of the peers.
+    Listed(Vec<ListedPeer>),
     /// A dial attempt ended.
     Dialed(SocketAddr),
     /// A dial attempt met this process itself.
@@ -93,20 +86,29 @@
 }
 
 /// The way to the hub. Sending never fails: an event for a hub that ended is dropped.
-#[derive(Clone, Debug)]
-pub struct HubSender {
-    tx: mpsc::UnboundedSender<HubEvent>,
+#[derive(Debug)]
+pub struct HubSender<M> {
+    tx: mpsc::UnboundedSender<HubEvent<M>>,
     links: Arc<AtomicU64>,
 }
 
-impl HubSender {
+impl<M> Clone for HubSender<M> {
+    fn clone(&self) -> Self {
+        Self {
+            tx: self.tx.clone(),
+            links: Arc::clone(&self.links),
+        }
+    }
+}
+
+impl<M> HubSender<M> {
     /// Sends an event.
-    pub fn send(&self, event: HubEvent) {
+    pub fn send(&self, event: HubEvent<M>) {
         drop(self.tx.send(event));
     }
 
     /// Sends a message that came on a connection.
-    pub fn message(&self, peer: Incarnation, number: u64, message: Message) {
+    pub fn message(&self, peer: Incarnation, number: u64, message: M) {
         self.send(HubEvent::Message {
             peer,
             number,
@@ -121,20 +123,34 @@
 }
 
 /// All connections to peers. Clones share them.
-#[derive(Clone, Debug)]
-pub struct PeerHub {
-    tx: HubSender,
+#[derive(Debug)]
+pub struct PeerHub<M> {
+    tx: HubSender<M>,
     address: SocketAddr,
     runtime: Handle,
 }
 
-impl PeerHub {
+impl<M> Clone for PeerHub<M> {
+    fn clone(&self) -> Self {
+        Self {
+            tx: self.tx.clone(),
+            address: self.address,
+            runtime: self.runtime.clone(),
+        }
+    }
+}
+
+impl<M: PeerMessage> PeerHub<M> {
     /// Binds the listener and starts the hub on `runtime`.
     ///
     /// # Errors
     ///
     /// Returns an error of kind [`ErrorKind::Listen`] if the socket can't be opened.
-    pub fn start(config: PeerConfig, runtime: &Handle, node: InputSender) -> Result<Self, Error> {
+    pub fn start(
+        config: PeerConfig,
+        runtime: &Handle,
+        node: impl PeerSink<M>,
+    ) -> Result<Self, Error> {
         let failed =
             |e: std::io::Error| Error::new(ErrorKind::Listen, format!("{}: {e}", config.listen));
         let listener = std::net::TcpListener::bind(config.listen).map_err(failed)?;
@@ -165,16 +181,16 @@
     }
 
     /// Sends a message to a peer. It is dropped if the peer is not connected.
-    pub fn send(&self, to: Incarnation, message: Message) {
+    pub fn send(&self, to: Incarnation, message: M) {
         self.tx.send(HubEvent::Send {
             to,
             message: Box::new(message),
         });
     }
 
-    /// Takes in a newer VM list.
-    pub fn take_list(&self, list: Arc<VmList>) {
-        self.tx.send(HubEvent::VmList(list));
+    /// Takes in a newer list of the peers.
+    pub fn take_list(&self, peers: Vec<ListedPeer>) {
+        self.tx.send(HubEvent::Listed(peers));
     }
 
     /// Writes what is queued and closes all connections.
@@ -186,7 +202,7 @@
     }
 }
 
-async fn listen(listener: TcpListener, config: LinkConfig, tx: HubSender) {
+async fn listen<M: PeerMessage>(listener: TcpListener, config: LinkConfig, tx: HubSender<M>) {
     while let Ok((stream, address)) = listener.accept().await {
         let (config, tx) = (config.clone(), tx.clone());
         tokio::spawn(async move {
@@ -204,7 +220,16 @@
     frames: mpsc::Sender<Vec<u8>>,
 }
 
-/// A peer that the VM list names.
+/// An entry VM and the address at which its peers reach it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListedPeer {
+    /// The VM.
+    pub vm: VmId,
+    /// Its address for peers.
+    pub address: SocketAddr,
+}
+
+/// A peer to connect to; one without a VM is a seed.
 #[derive(Clone, Copy, Debug)]
 struct Target {
     vm: Option<VmId>,
@@ -213,10 +238,10 @@
 }
 
 #[derive(Debug)]
-struct HubState {
+struct HubState<M, S> {
     config: PeerConfig,
-    tx: HubSender,
-    node: InputSender,
+    tx: HubSender<M>,
+    node: S,
     address: SocketAddr,
     links: FastMap<Incarnation, Link>,
     targets: Vec<Target>,
@@ -224,8 +249,8 @@
     own: FastSet<SocketAddr>,
 }
 
-impl HubState {
-    fn new(config: PeerConfig, tx: HubSender, node: InputSender, address: SocketAddr) -> Self {
+impl<M: PeerMessage, S: PeerSink<M>> HubState<M, S> {
+    fn new(config: PeerConfig, tx: HubSender<M>, node: S, address: SocketAddr) -> Self {
         let seeds = config.seeds.iter();
         let targets = seeds.map(|&address| Target {
             vm: None,
@@ -244,7 +269,7 @@
         }
     }
 
-    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<HubEvent>) {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<HubEvent<M>>) {
         let mut dial_timer = tokio::time::interval(DIAL_INTERVAL);
         loop {
             tokio::select! {
@@ -261,7 +286,7 @@
         }
     }
 
-    fn handle(&mut self, event: HubEvent) {
+    fn handle(&mut self, event: HubEvent<M>) {
         match event {
             HubEvent::Up {
                 peer,
@@ -275,14 +300,11 @@
                 message,
             } => {
                 if self.is_current(peer, number) {
-                    self.node.event(Event::Message {
-                        from: peer,
-                        message: *message,
-                    });
+                    self.node.message(peer, *message);
                 }
             }
             HubEvent::Send { to, message } => self.send(to, &message),
-            HubEvent::VmList(list) => self.take_list(&list),
+            HubEvent::Listed(peers) => self.take_list(&peers),
             HubEvent::Dialed(address) => {
                 self.dialing.remove(&address);
             }
@@ -304,43 +326,39 @@
     fn link_up(&mut self, peer: Incarnation, link: Link) {
         tracing::info!(%peer, "peer connected");
         if self.links.insert(peer, link).is_some() {
-            self.node.event(Event::PeerDown(peer));
+            self.node.peer_down(peer);
         }
-        self.node.event(Event::PeerUp(peer));
+        self.node.peer_up(peer);
     }
 
     fn link_down(&mut self, peer: Incarnation, number: u64) {
         if self.is_current(peer, number) {
             tracing::info!(%peer, "peer disconnected");
             self.links.remove(&peer);
-            self.node.event(Event::PeerDown(peer));
+            self.node.peer_down(peer);
         }
     }
 
-    fn send(&mut self, to: Incarnation, message: &Message) {
+    fn send(&mut self, to: Incarnation, message: &M) {
         let Some(link) = self.links.get(&to) else {
             return;
         };
         // A link whose task ended reports that itself.
-        if let Err(TrySendError::Full(_)) = link.frames.try_send(encode(message)) {
+        if let Err(TrySendError::Full(_)) = link.frames.try_send(message.encode()) {
             tracing::warn!(peer = %to, "peer does not keep up; closing the connection");
             let number = link.number;
             self.link_down(to, number);
         }
     }
 
-    fn take_list(&mut self, list: &VmList) {
-        let listed: Vec<_> = list
-            .entries
-            .iter()
-            .filter(|vm| vm.id != self.config.link.me.vm)
-            .filter_map(|vm| Some((vm.id, vm.peer_address.parse().ok()?)))
-            .collect();
+    fn take_list(&mut self, peers: &[ListedPeer]) {
+        let me = self.config.link.me.vm;
+        let listed: Vec<_> = peers.iter().filter(|peer| peer.vm != me).collect();
         let known = std::mem::take(&mut self.targets);
         let seeds = known.iter().filter(|target| target.vm.is_none()).copied();
         self.targets = listed
             .iter()
-            .map(|&(vm, address)| {
+            .map(|&&ListedPeer { vm, address }| {
                 let old = known.iter().find(|target| target.address == address);
                 let missing_since = old.and_then(|target| target.missing_since);
                 Target {
@@ -350,8 +368,7 @@
                 }
             })
             .collect();
-        let unlisted =
-            seeds.filter(|seed| listed.iter().all(|(_, address)| *address != seed.address));
+        let unlisted = seeds.filter(|seed| listed.iter().all(|peer| peer.address != seed.address));
         self.targets.extend(unlisted);
     }
 
@@ -398,7 +415,11 @@
 
     /// Lets every connection write its queue, by dropping the sending ends, and waits until the
     /// connections ended.
-    async fn close(mut self, mut rx: mpsc::UnboundedReceiver<HubEvent>, done: oneshot::Sender<()>) {
+    async fn close(
+        mut self,
+        mut rx: mpsc::UnboundedReceiver<HubEvent<M>>,
+        done: oneshot::Sender<()>,
+    ) {
         let links = std::mem::take(&mut self.links);
         let mut open: FastSet<u64> = links.values().map(|link| link.number).collect();
         drop(links);
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -2,7 +2,7 @@
 
 use super::hello::{self, Hello};
 use super::hub::{HubEvent, HubSender};
-use super::wire::decode;
+use super::protocol::PeerMessage;
 use cardamomslip_core::model::incarnation::Incarnation;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
@@ -68,7 +68,11 @@
 /// # Errors
 ///
 /// Returns an error if the handshake fails.
-pub async fn dial(config: LinkConfig, address: SocketAddr, tx: HubSender) -> Result<(), LinkError> {
+pub async fn dial<M: PeerMessage>(
+    config: LinkConfig,
+    address: SocketAddr,
+    tx: HubSender<M>,
+) -> Result<(), LinkError> {
     let connect = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -87,7 +91,11 @@
 /// # Errors
 ///
 /// Returns an error if the handshake fails.
-pub async fn accept(config: LinkConfig, stream: TcpStream, tx: HubSender) -> Result<(), LinkError> {
+pub async fn accept<M: PeerMessage>(
+    config: LinkConfig,
+    stream: TcpStream,
+    tx: HubSender<M>,
+) -> Result<(), LinkError> {
     let secret = config.secret.clone();
     let connect = async {
         stream.set_nodelay(true)?;
@@ -101,10 +109,10 @@
 }
 
 /// Waits for a handshake and runs the connection until it ends.
-async fn join(
+async fn join<M: PeerMessage>(
     connect: impl Future<Output = Result<(Socket, Incarnation), LinkError>>,
     config: &LinkConfig,
-    tx: HubSender,
+    tx: HubSender<M>,
 ) -> Result<(), LinkError> {
     let shaken = timeout(HANDSHAKE_TIMEOUT, connect).await;
     let (socket, peer) = shaken.unwrap_or(Err(LinkError::Silent))?;
@@ -130,7 +138,12 @@
 }
 
 /// Carries messages until the connection breaks, falls silent or is replaced.
-async fn run(socket: Socket, peer: Incarnation, config: &LinkConfig, tx: HubSender) {
+async fn run<M: PeerMessage>(
+    socket: Socket,
+    peer: Incarnation,
+    config: &LinkConfig,
+    tx: HubSender<M>,
+) {
     let (frames_tx, mut frames_rx) = mpsc::channel::<Vec<u8>>(MAX_QUEUE);
     let number = tx.next_link();
     tx.send(HubEvent::Up {
@@ -154,7 +167,7 @@
             if !frame.is_binary() {
                 continue;
             }
-            match decode(&frame.into_data()) {
+            match M::decode(&frame.into_data()) {
                 Ok(message) => tx.message(peer, number, message),
                 Err(e) => {
                     tracing::error!(%peer, error = %e, "invalid frame; closing the connection");
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,7 +6,9 @@
 mod hello;
 mod hub;
 mod link;
+mod protocol;
 mod wire;
 
-pub use hub::{PeerConfig, PeerHub};
+pub use hub::{ListedPeer, PeerConfig, PeerHub};
+pub use protocol::{PeerMessage, PeerSink};
 pub use wire::{WireError, decode, encode};
--- a/tests/peer_handshake.rs
+++ b/tests/peer_handshake.rs
@@ -5,6 +5,7 @@
 use cardamomslip::settings::Secret;
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
+use cardamomslip_core::model::message::Message;
 use rstest::rstest;
 use sha2::{Digest, Sha256};
 use std::io::{Read, Write};
@@ -33,7 +34,8 @@
     let own_secret = Secret::new(SECRET.to_owned());
     let config = PeerConfig::new(me, own_secret, Duration::from_secs(1), listen, Vec::new());
     let (tx, _rx) = std::sync::mpsc::channel();
-    let hub = PeerHub::start(config, runtime.handle(), InputSender::new(tx)).expect("a hub");
+    let hub: PeerHub<Message> =
+        PeerHub::start(config, runtime.handle(), InputSender::new(tx)).expect("a hub");
     let mut stream = TcpStream::connect(hub.address()).expect("a connection");
     let request = format!(
         "GET / HTTP/1.1\r\nhost: x\r\nupgrade: websocket\r\nconnection: upgrade\r\n\
