--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -237,10 +237,7 @@
     );
     systems::runner::give_up_all(world, cx, LossCause::Paused);
     systems::entry::run(world, cx);
-    let peers: Vec<_> = world.members.keys().copied().collect();
-    for peer in peers {
-        systems::entry::runner_lost(world, cx, peer);
-    }
+    systems::entry::give_up_all(world, cx, LossCause::Paused);
     world.settled_at = cx.now + world.policy.settle;
     world.claimed.clear();
     let held = world.workers.values_mut();
@@ -290,6 +287,7 @@
     }
     systems::runner::give_up_all(world, cx, LossCause::Stopping);
     systems::entry::run(world, cx);
+    systems::entry::give_up_all(world, cx, LossCause::Stopping);
     systems::stops::run(world, cx);
     world.phase = Phase::Closed;
     cx.order(Order::Closed);
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -8,7 +8,7 @@
 use crate::guarded::model::message::Message;
 use crate::guarded::order::Order;
 use crate::guarded::tables::entry_job::EntryJob;
-use crate::guarded::world::{Cx, World};
+use crate::guarded::world::{Cx, Phase, World};
 use crate::model::ids::CallId;
 use crate::model::incarnation::Incarnation;
 use std::sync::Arc;
@@ -18,6 +18,8 @@
 const SPILL_MARGIN: Duration = Duration::from_millis(30);
 /// Placements of a job at most, since runners that stop hand it back.
 const MAX_PLACEMENTS: u32 = 4;
+/// Time before the end of a stop from which on no job is taken in.
+const LAST_JOBS: Duration = Duration::from_millis(2_500);
 /// Time after which a client may try again when no runner is known.
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(1);
 
@@ -39,7 +41,32 @@
         placements: 0,
     };
     world.entries.insert(id, row);
-    place(world, cx, id);
+    if accepts(world, cx) {
+        place(world, cx, id);
+    } else {
+        let answer = Answer::Refused {
+            cause: RefusalCause::Stopping,
+            retry_after: NO_RUNNER_RETRY,
+        };
+        finish(world, cx, id, answer);
+    }
+}
+
+/// Tells whether a new job could still end before this VM stops.
+fn accepts(world: &World, cx: &Cx<'_>) -> bool {
+    match world.phase {
+        Phase::Serving => true,
+        Phase::Stopping(since) => cx.now.since(since) + LAST_JOBS < world.policy.stop_timeout,
+        Phase::Closed => false,
+    }
+}
+
+/// Gives up the jobs that are left when this VM ends.
+pub fn give_up_all(world: &mut World, cx: &mut Cx<'_>, cause: LossCause) {
+    let jobs: Vec<_> = world.entries.keys().copied().collect();
+    for id in jobs {
+        finish(world, cx, id, Answer::Lost(cause));
+    }
 }
 
 /// Chooses a runner for a job and hands the job to it.
--- a/src/callers/problem.rs
+++ b/src/callers/problem.rs
@@ -107,6 +107,7 @@
             status: problem.status,
             media_type: PROBLEM_JSON,
             retry_after: problem.retry_after,
+            close: false,
             body: serde_json::to_string(problem).unwrap_or_default(),
         }
     }
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -94,6 +94,9 @@
     }
 
     fn handle(&mut self, now: Instant, event: Event) {
+        if matches!(event, Event::Stop) {
+            self.ports.begin_stop();
+        }
         let time = self.time(now);
         self.dispatcher
             .handle(time, unix_ms(), event, &mut self.orders);
--- a/src/guarded/ports.rs
+++ b/src/guarded/ports.rs
@@ -40,6 +40,9 @@
     /// A newer configuration is in force.
     fn adopt(&mut self, queues: &Arc<QueueTable>);
 
+    /// The VM stops: clients are to use other connections.
+    fn begin_stop(&mut self);
+
     /// Says whether the VM takes work, for the balancer.
     fn set_ready(&mut self, ready: bool);
 }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -18,6 +18,8 @@
     pub retry_after: Option<Duration>,
     /// The body.
     pub body: String,
+    /// Whether the connection is closed after the response.
+    pub close: bool,
 }
 
 impl Reply {
@@ -29,6 +31,7 @@
             media_type: JSON,
             retry_after: None,
             body,
+            close: false,
         }
     }
 
@@ -40,6 +43,7 @@
             media_type: "text/plain",
             retry_after: None,
             body,
+            close: false,
         }
     }
 }
@@ -142,6 +146,10 @@
         if let Some(span) = reply.retry_after {
             headers.insert(hyper::header::RETRY_AFTER, whole_seconds(span).into());
         }
+        if reply.close {
+            let close = hyper::header::HeaderValue::from_static("close");
+            headers.insert(hyper::header::CONNECTION, close);
+        }
         response
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -136,21 +136,15 @@
 ) -> Result<Response<String>, Infallible> {
     let (head, body) = req.into_parts();
     let body = read_body(body, body_bytes).await;
+    // The rest of a body that was refused is not read, so the connection can't be used again.
     let refused = body.is_err();
     let (tx, rx) = oneshot::channel();
     handle(Exchange::new(head, body, tx));
     let reply = rx
         .await
         .unwrap_or_else(|_| Reply::text(500, "internal error\n".to_owned()));
-    let mut response = Response::from(reply);
-    if refused {
-        // The rest of the body is not read, so the connection can't be used again.
-        let close = hyper::header::HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(hyper::header::CONNECTION, close);
-    }
-    Ok(response)
+    let close = reply.close || refused;
+    Ok(Response::from(Reply { close, ..reply }))
 }
 
 /// Reads a body. One that declares to be too long is refused before it is read.
