--- a/src/guarded/input.rs
+++ b/src/guarded/input.rs
@@ -3,12 +3,17 @@
 use super::ports::Answerer;
 use crate::peers::PeerSink;
 use cardamomslip_core::guarded::Event;
+use cardamomslip_core::guarded::model::answer::{Answer, RefusalCause};
 use cardamomslip_core::guarded::model::job::Job;
 use cardamomslip_core::guarded::model::message::Message;
 use cardamomslip_core::model::incarnation::Incarnation;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 
+/// Time after which a job may be tried again that met a VM which has stopped.
+const STOPPED_RETRY: Duration = Duration::from_millis(500);
+
 /// An input of the actor.
 #[derive(Debug)]
 pub enum Input<A> {
@@ -18,7 +23,7 @@
     Submit(A, Arc<Job>),
 }
 
-/// The way to the actor. Sending never fails: an input to an actor that ended is dropped.
+/// The way to the actor.
 #[derive(Debug)]
 pub struct InputSender<A>(UnboundedSender<Input<A>>);
 
@@ -35,15 +40,25 @@
         Self(tx)
     }
 
-    /// Sends an input.
-    pub fn send(&self, input: Input<A>) {
-        // The receiver is dropped only when the process ends.
-        drop(self.0.send(input));
+    /// Sends a submission. One that an actor which has ended can't take in is refused.
+    pub fn submit(&self, answerer: A, job: Arc<Job>)
+    where
+        A: Answerer,
+    {
+        if let Err(e) = self.0.send(Input::Submit(answerer, job))
+            && let Input::Submit(answerer, job) = e.0
+        {
+            tracing::info!(job = %job.id, "job refused: this VM has stopped");
+            answerer.close(Answer::Refused {
+                cause: RefusalCause::Stopping,
+                retry_after: STOPPED_RETRY,
+            });
+        }
     }
 
-    /// Sends an event of the core.
+    /// Sends an event of the core. One for an actor that ended is dropped.
     pub fn event(&self, event: Event) {
-        self.send(Input::Event(event));
+        drop(self.0.send(Input::Event(event)));
     }
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -83,11 +83,18 @@
         self.address
     }
 
-    /// Stops taking connections and lets requests in progress finish for a short time.
+    /// Stops taking connections and lets requests in progress finish for a short time. Blocks, so
+    /// it needs a runtime with threads of its own; elsewhere see [`HttpServer::close_async`].
     pub fn close(self) {
+        let runtime = self.runtime.clone();
+        runtime.block_on(self.close_async());
+    }
+
+    /// Does the same as [`HttpServer::close`] on the runtime that polls it.
+    pub async fn close_async(self) {
         // The server ended by itself if nobody listens.
         let _ = self.stop.send(());
-        let _ = self.runtime.block_on(self.stopped);
+        let _ = self.stopped.await;
     }
 }
 
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -193,12 +193,18 @@
         self.tx.send(HubEvent::Listed(peers));
     }
 
-    /// Writes what is queued and closes all connections.
+    /// Writes what is queued and closes all connections. Blocks, so it needs a runtime with threads
+    /// of its own; elsewhere see [`PeerHub::close_async`].
     pub fn close(self) {
+        let runtime = self.runtime.clone();
+        runtime.block_on(self.close_async());
+    }
+
+    /// Does the same as [`PeerHub::close`] on the runtime that polls it.
+    pub async fn close_async(self) {
         let (tx, rx) = oneshot::channel();
         self.tx.send(HubEvent::Close(tx));
-        let closed = async { tokio::time::timeout(CLOSE_TIMEOUT, rx).await };
-        drop(self.runtime.block_on(closed));
+        drop(tokio::time::timeout(CLOSE_TIMEOUT, rx).await);
     }
 }
 
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -110,3 +110,24 @@
         assert_eq!(receive(&mut stream).1, "ok");
     };
 }
+
+/// Closing must not wait for a thread that nobody has: it hung until the process was killed, and a
+/// request that came meanwhile was never answered.
+#[test]
+fn closes_on_a_runtime_of_one_thread() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let config = HttpConfig {
+        listen,
+        body_bytes: BODY_BYTES,
+    };
+    let server = HttpServer::start(config, runtime.handle(), echo).expect("a server");
+    let closed = async {
+        let limit = std::time::Duration::from_secs(5);
+        tokio::time::timeout(limit, server.close_async()).await
+    };
+    runtime.block_on(closed).expect("the server closes");
+}
