--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -10,7 +10,7 @@
 use super::policy::Policy;
 use super::stats::Stats;
 use super::systems;
-use super::tables::worker::{Hold, RunState, Worker};
+use super::tables::worker::{Hold, Worker};
 use super::world::{Cx, Phase, Timer, World};
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
@@ -244,12 +244,7 @@
     for row in held.filter(|row| matches!(row.hold, Hold::Held | Hold::Taking)) {
         row.hold = Hold::None;
         row.look = None;
-        for run in row.runs.values_mut() {
-            run.state = RunState::Stopping {
-                ordered: cx.now,
-                acked: None,
-            };
-        }
+        row.mark_all_stopping();
     }
     world.stops.clear();
     world.heartbeat_due = true;
--- a/crates/core/src/guarded/systems/looks.rs
+++ b/crates/core/src/guarded/systems/looks.rs
@@ -2,7 +2,7 @@
 
 use super::holding;
 use crate::guarded::model::ids::{RunId, WorkerId};
-use crate::guarded::model::reply::{Listing, LookReply, RunEnd};
+use crate::guarded::model::reply::{Listing, LookReply};
 use crate::guarded::model::resources::Resources;
 use crate::guarded::order::{Look, Order};
 use crate::guarded::tables::worker::{Hold, PendingLook, Run, RunState};
@@ -95,16 +95,17 @@
     tracing::info!(worker = %id, token = row.token.0, was_taking, "a worker saw a higher token");
 }
 
-/// The worker has started anew: nothing of before is there.
+/// The worker has started anew. A start that was under way may have reached the new boot, so each
+/// run counts as there until the worker was looked at under a new token.
 pub fn rebooted(world: &mut World, cx: &mut Cx<'_>, id: WorkerId, boot: Option<u64>) {
     tracing::info!(worker = %id, boot, "a worker has started anew");
-    world.end_all_runs(id, RunEnd::Broken);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
-    row.forget_clock();
+    row.forget_clock(cx.now);
     row.boot = boot;
     row.last_seen = 0;
+    row.mark_all_stopping();
     holding::begin_taking(world, cx, id);
 }
 
@@ -193,6 +194,9 @@
         predicted: Duration::ZERO,
         tries: 0,
     };
+    if let Some(row) = world.workers.get_mut(&worker) {
+        row.assume_longest_lease(now);
+    }
     world.add_run(worker, run);
     world.stops.push((worker, id));
 }
--- a/crates/core/src/guarded/systems/members.rs
+++ b/crates/core/src/guarded/systems/members.rs
@@ -58,17 +58,23 @@
 }
 
 fn heartbeat(world: &World, cx: &Cx<'_>) -> Heartbeat {
+    let leaving = !world.is_serving();
     let held = world.workers.values();
     let still_held = held.filter(|row| {
         let holds = matches!(row.hold, Hold::Held | Hold::Taking);
-        holds && !holding::is_claimed(world, &row.entry)
+        holds && (leaving || !holding::is_claimed(world, &row.entry))
     });
+    let cells = if leaving {
+        Vec::new()
+    } else {
+        holding::loads(world, cx.now)
+    };
     Heartbeat {
         weight: world.site.weight,
-        leaving: !world.is_serving(),
+        leaving,
         queues_version: world.queues_version(),
         token: world.token.0,
-        cells: holding::loads(world, cx.now),
+        cells,
         yielding: world.yielding.iter().copied().collect(),
         still_held: still_held.map(|row| row.entry.id).collect(),
     }
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -21,6 +21,9 @@
 /// Time in which the excess of the slowness over 1 falls to half without observations.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Longest lease that a worker grants, whatever it is asked for.
+const MAX_LEASE: Duration = Duration::from_secs(1);
+
 /// Whether this VM holds a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hold {
@@ -126,6 +129,8 @@
     pub full_until: Time,
     clock: Option<ClockSample>,
     lease_end_ms: u64,
+    /// Since when the clock of the present boot is not known.
+    blind_since: Option<Time>,
 }
 
 impl Worker {
@@ -146,6 +151,7 @@
             full_until: Time::ZERO,
             clock: None,
             lease_end_ms: 0,
+            blind_since: None,
         }
     }
 
@@ -160,12 +166,22 @@
         if self.clock.is_none_or(|old| clock_ms >= old.clock_ms) {
             self.clock = Some(ClockSample { clock_ms, at: now });
         }
+        if self.blind_since.take().is_some() {
+            self.assume_longest_lease(now);
+        }
+    }
+
+    /// Reckons with the longest lease from now, for runs that this VM did not start.
+    pub fn assume_longest_lease(&mut self, now: Time) {
+        // Without a clock there is nothing to reckon with yet; the first reading comes back here.
+        self.extend_lease(now, MAX_LEASE);
     }
 
     /// Forgets the clock, for another boot has another.
-    pub const fn forget_clock(&mut self) {
+    pub const fn forget_clock(&mut self, now: Time) {
         self.clock = None;
         self.lease_end_ms = 0;
+        self.blind_since = Some(now);
     }
 
     /// Returns the time that the worker's clock shows about now.
@@ -187,7 +203,10 @@
     /// slowest clock.
     pub fn lease_lapsed(&self, now: Time, grace: Duration) -> bool {
         let Some(sample) = self.clock else {
-            return self.lease_end_ms == 0;
+            let longest = MAX_LEASE.mul_f64(CLOCK_SLACK) + grace;
+            return self
+                .blind_since
+                .is_none_or(|since| now.since(since) > longest);
         };
         let left = self.lease_end_ms.saturating_sub(sample.clock_ms);
         let span = Duration::from_millis(left).mul_f64(CLOCK_SLACK) + grace;
@@ -209,6 +228,16 @@
         self.health.failures == 0 || self.runs.is_empty()
     }
 
+    /// Marks every run as one to be stopped; the order follows when the worker lists it.
+    pub fn mark_all_stopping(&mut self) {
+        for run in self.runs.values_mut() {
+            run.state = RunState::Stopping {
+                ordered: Time::ZERO,
+                acked: None,
+            };
+        }
+    }
+
     /// Adds a run.
     pub fn add_run(&mut self, run: Run) {
         self.used += run.need;
