--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -89,6 +89,7 @@
                 Timer::Heartbeat => world.heartbeat_due = true,
                 Timer::Sweep => {
                     systems::sweep::run(world, cx);
+                    systems::members::ask_for_queues(world, cx);
                     world
                         .timers
                         .subscribe(now + systems::sweep::INTERVAL, Timer::Sweep);
@@ -216,6 +217,9 @@
             systems::entry::finished(world, cx, from, job, answer);
         }
         Message::Withdraw { job } => systems::runner::withdraw(world, cx, from, job),
+        Message::WantQueues { version } => {
+            systems::members::queues_wanted(world, cx, from, version);
+        }
         Message::Queues(table) => adopt_queues(world, cx, table),
     }
 }
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -32,7 +32,12 @@
         /// The job.
         job: ClientJobId,
     },
-    /// A configuration that the receiver has not yet.
+    /// The sender asks for the configuration, since it has only this version.
+    WantQueues {
+        /// Version that the sender has, 0 for none.
+        version: u64,
+    },
+    /// The configuration, for one who asked for it.
     Queues(Arc<QueueTable>),
 }
 
--- a/crates/core/src/guarded/model/queue.rs
+++ b/crates/core/src/guarded/model/queue.rs
@@ -1,7 +1,7 @@
 //! The queues that clients submit to.
 
-use super::ids::UpstreamId;
 use super::job::Terms;
+use crate::collections::FastMap;
 use crate::model::ids::DataCentreId;
 use std::sync::Arc;
 
@@ -23,8 +23,8 @@
 pub struct QueueTable {
     /// Version; later ones are higher.
     pub version: u64,
-    /// Queues, the ones with longer prefixes first.
-    queues: Vec<Queue>,
+    /// Queues by host, the ones with longer prefixes first.
+    queues: FastMap<Arc<str>, Vec<Queue>>,
     /// Longest body of a request, in bytes; 0 for no limit of its own.
     pub max_body_bytes: u64,
 }
@@ -32,11 +32,18 @@
 impl QueueTable {
     /// Builds a table.
     #[must_use]
-    pub fn new(version: u64, mut queues: Vec<Queue>, max_body_bytes: u64) -> Self {
-        queues.sort_by_key(|queue| std::cmp::Reverse(queue.prefix.len()));
+    pub fn new(version: u64, queues: Vec<Queue>, max_body_bytes: u64) -> Self {
+        let mut by_host: FastMap<Arc<str>, Vec<Queue>> = FastMap::default();
+        for queue in queues {
+            let host = queue.host.to_ascii_lowercase();
+            by_host.entry(Arc::from(host)).or_default().push(queue);
+        }
+        for queues in by_host.values_mut() {
+            queues.sort_by_key(|queue| std::cmp::Reverse(queue.prefix.len()));
+        }
         Self {
             version,
-            queues,
+            queues: by_host,
             max_body_bytes,
         }
     }
@@ -45,24 +52,13 @@
     /// path.
     #[must_use]
     pub fn find<'t, 'p>(&'t self, host: &str, path: &'p str) -> Option<(&'t Queue, &'p str)> {
-        let mut queues = self.queues.iter();
-        queues.find_map(|queue| {
-            if !queue.host.eq_ignore_ascii_case(host) {
-                return None;
-            }
-            Some((queue, path.strip_prefix(&*queue.prefix)?))
-        })
+        let mut queues = self.queues.get(&*host.to_ascii_lowercase())?.iter();
+        queues.find_map(|queue| Some((queue, path.strip_prefix(&*queue.prefix)?)))
     }
 
     /// Iterates over the queues.
     pub fn iter(&self) -> impl Iterator<Item = &Queue> {
-        self.queues.iter()
-    }
-
-    /// Returns the upstreams that a queue sends work to.
-    #[must_use]
-    pub fn uses(&self, upstream: UpstreamId) -> bool {
-        self.iter().any(|queue| queue.terms.upstream == upstream)
+        self.queues.values().flatten()
     }
 }
 
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::guarded::world::{Cx, World};
 use crate::model::time::Time;
 use std::cmp::Ordering;
+use std::fmt;
 use std::time::Duration;
 
 /// Part of the predicted run time that a task must have left to count as in time; predictions are
@@ -80,11 +81,62 @@
         .map(|task| task.id)
         .filter(|task| !world.live.contains_key(task))
         .collect();
+    let waiting = due.len();
+    let mut starts = Vec::new();
     for task in due {
         let Some(worker) = choose(world, cx.now, task) else {
-            return;
+            break;
         };
-        start(world, cx, task, worker);
+        if let Some(run) = start(world, cx, task, worker) {
+            starts.push((run, worker));
+        }
+    }
+    if !starts.is_empty() {
+        log_starts(world, cx.now, id, waiting, &starts);
+    }
+}
+
+/// Logs which runs were started where, and what decided it.
+fn log_starts(
+    world: &World,
+    now: Time,
+    id: ClientJobId,
+    waiting: usize,
+    starts: &[(RunId, WorkerId)],
+) {
+    let Some(job) = world.jobs.get(&id) else {
+        return;
+    };
+    let ages = starts.iter().filter_map(|(_, worker)| {
+        let row = world.workers.get(worker)?;
+        Some(now.since(row.answered).as_millis())
+    });
+    tracing::info!(
+        job = %id,
+        starts = %StartList(starts),
+        waiting,
+        late = now > job.objective_at,
+        objective_in_ms = job.objective_at.since(now).as_millis(),
+        worker_age_ms = ages.max(),
+        "runs started"
+    );
+}
+
+/// Writes starts as `step.index#run@worker`.
+struct StartList<'a>(&'a [(RunId, WorkerId)]);
+
+impl fmt::Display for StartList<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, (run, worker)) in self.0.iter().enumerate() {
+            let space = if i == 0 { "" } else { " " };
+            let task = run.task;
+            write!(
+                f,
+                "{space}{}.{}#{}@{worker}",
+                task.step, task.index, run.number
+            )?;
+        }
+        Ok(())
     }
 }
 
@@ -179,32 +231,21 @@
 /// How much longer a task takes away from the rack of its data.
 const FAR_FACTOR: f64 = 1.5;
 
-fn start(world: &mut World, cx: &mut Cx<'_>, task: TaskId, worker: WorkerId) {
+/// Starts a task on a worker. `None` if the worker or the job is gone.
+fn start(world: &mut World, cx: &mut Cx<'_>, task: TaskId, worker: WorkerId) -> Option<RunId> {
     let lease = world.policy.lease;
-    let Some(row) = world.workers.get_mut(&worker) else {
-        return;
-    };
+    let row = world.workers.get_mut(&worker)?;
     let token = row.token;
-    let Some(lease_end_ms) = row.extend_lease(cx.now, lease) else {
-        return;
-    };
-    let Some(row) = world.workers.get(&worker) else {
-        return;
-    };
-    let Some(job) = world.jobs.get(&task.job) else {
-        return;
-    };
+    let lease_end_ms = row.extend_lease(cx.now, lease)?;
+    let row = world.workers.get(&worker)?;
+    let job = world.jobs.get(&task.job)?;
     let step = &job.job.steps[task.step as usize];
     let predicted = predict(world, cx.now, row, step);
     let (need, estimate): (Resources, Duration) = (step.need, step.estimate);
     let payload = job.job.payload.clone();
-    let Some(job) = world.jobs.get_mut(&task.job) else {
-        return;
-    };
+    let job = world.jobs.get_mut(&task.job)?;
     job.started = true;
-    let Some(entry) = job.task_mut(task) else {
-        return;
-    };
+    let entry = job.task_mut(task)?;
     let run = RunId {
         task,
         number: entry.next_run,
@@ -231,4 +272,5 @@
         token,
         lease_end_ms,
     }));
+    Some(run)
 }
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -11,6 +11,7 @@
 use crate::guarded::world::{Cx, Phase, World};
 use crate::model::ids::CallId;
 use crate::model::incarnation::Incarnation;
+use crate::model::time::Time;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -221,21 +222,27 @@
         Answer::Refused { .. } => stats.refused += 1,
         Answer::Lost(_) => stats.lost += 1,
     }
-    tracing::info!(
-        job = %id,
-        queue = %row.job.terms.queue,
-        ?answer,
-        runner = row.runner.map(|vm| vm.vm.0),
-        age_ms = cx.now.since(row.submitted).as_millis(),
-        placements = row.placements,
-        "job answered"
-    );
+    log_answer(cx.now, &row, answer);
     for call in row.calls {
         world.calls.remove(&call);
         cx.order(Order::Answer { call, answer });
     }
 }
 
+/// Logs the answer to a job; those that did not complete count as warnings, which go last when logs
+/// are cut short.
+fn log_answer(now: Time, row: &EntryJob, answer: Answer) {
+    let runner = row.runner.map(|vm| vm.vm.0);
+    let age_ms = now.since(row.submitted).as_millis();
+    let (job, placements) = (row.job.id, row.placements);
+    if answer == Answer::Completed {
+        tracing::info!(%job, ?answer, runner, age_ms, placements, "job answered");
+    } else {
+        let (queue, patience_ms) = (row.job.terms.queue, row.job.patience.as_millis());
+        tracing::warn!(%job, %queue, ?answer, runner, age_ms, patience_ms, placements, "job answered");
+    }
+}
+
 /// A client left. Without others that wait for it, the job is withdrawn from its runner.
 pub fn abandon(world: &mut World, cx: &mut Cx<'_>, call: CallId) {
     let Some(id) = world.calls.remove(&call) else {
--- a/crates/core/src/guarded/systems/members.rs
+++ b/crates/core/src/guarded/systems/members.rs
@@ -8,6 +8,11 @@
 use crate::guarded::world::{Cx, World};
 use crate::model::incarnation::Incarnation;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a VM must be behind before it asks a peer for the configuration, and between two
+/// questions.
+const ASK_AFTER: Duration = Duration::from_millis(400);
 
 /// A peer connected.
 pub fn peer_up(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
@@ -29,16 +34,49 @@
 /// A heartbeat came.
 pub fn heartbeat_received(world: &mut World, cx: &mut Cx<'_>, from: Incarnation, beat: Heartbeat) {
     world.saw_token(beat.token);
-    let version = world.queues_version();
     let Some(row) = world.members.get_mut(&from) else {
         return;
     };
     row.heard = cx.now;
     row.placed_milli = 0;
-    let behind = beat.queues_version < version && row.sent_version < version;
     row.heartbeat = Some(beat);
-    if behind && let Some(table) = &world.queues {
-        row.sent_version = version;
+}
+
+/// Asks one peer for its configuration, if this VM has been behind for a while: the store brings it
+/// to most VMs itself, so that only those that can't reach the store ask.
+pub fn ask_for_queues(world: &mut World, cx: &mut Cx<'_>) {
+    let version = world.queues_version();
+    let ahead = newest(world).filter(|&(_, newest)| newest > version);
+    let Some((peer, newest)) = ahead else {
+        world.behind_since = None;
+        return;
+    };
+    let since = *world.behind_since.get_or_insert(cx.now);
+    if cx.now.since(since) < ASK_AFTER {
+        return;
+    }
+    tracing::info!(version, newest, peer = %peer.vm, "asking a peer for the configuration");
+    world.behind_since = Some(cx.now);
+    cx.order(Order::Send {
+        to: peer,
+        message: Message::WantQueues { version },
+    });
+}
+
+/// Returns a peer with the newest configuration, one of the same data centre first.
+fn newest(world: &World) -> Option<(Incarnation, u64)> {
+    let peers = world.members.iter().filter_map(|(&peer, row)| {
+        let beat = row.heartbeat.as_ref()?;
+        Some((peer, beat.queues_version))
+    });
+    peers.max_by_key(|&(peer, version)| (version, peer.data_centre == world.me.data_centre))
+}
+
+/// A peer asks for the configuration.
+pub fn queues_wanted(world: &World, cx: &mut Cx<'_>, from: Incarnation, version: u64) {
+    if let Some(table) = &world.queues
+        && table.version > version
+    {
         cx.order(Order::Send {
             to: from,
             message: Message::Queues(Arc::clone(table)),
--- a/crates/core/src/guarded/tables/member.rs
+++ b/crates/core/src/guarded/tables/member.rs
@@ -16,8 +16,6 @@
     pub heard: Time,
     /// Processor of tasks placed there since its last heartbeat, in thousandths of a core.
     pub placed_milli: u64,
-    /// Version of the configuration that was last sent to it.
-    pub sent_version: u64,
 }
 
 impl MemberRow {
@@ -28,7 +26,6 @@
             heartbeat: None,
             heard: now,
             placed_milli: 0,
-            sent_version: 0,
         }
     }
 
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -72,6 +72,8 @@
     pub timers: TimerService<Timer>,
     pub stats: Stats,
     pub queues: Option<Arc<QueueTable>>,
+    /// Since when a peer has a newer configuration.
+    pub behind_since: Option<Time>,
     pub workers: BTreeMap<WorkerId, Worker>,
     pub members: BTreeMap<Incarnation, MemberRow>,
     /// No cell is claimed before this time.
@@ -115,6 +117,7 @@
             timers: TimerService::default(),
             stats: Stats::default(),
             queues: None,
+            behind_since: None,
             workers: BTreeMap::new(),
             members: BTreeMap::new(),
             settled_at: Time::ZERO + policy.settle,
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -77,6 +77,13 @@
         });
     }
 
+    /// Records the number of log lines that were left out.
+    pub fn record_log_lines_left_out(&self, lines: u64) {
+        with_local_recorder(&*self.recorder, || {
+            counter!("cardamomslip_log_lines_left_out_total").absolute(lines);
+        });
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/src/guarded/wire.rs
+++ b/src/guarded/wire.rs
@@ -47,6 +47,8 @@
     Finished(u64, AnswerWire),
     #[serde(rename = "w")]
     Withdraw(u64),
+    #[serde(rename = "a")]
+    WantQueues(u64),
     #[serde(rename = "q")]
     Queues(u64, u64, Vec<QueueWire>),
 }
@@ -126,6 +128,7 @@
             Message::Place { job, age } => Self::Place((&**job).into(), micros(*age)),
             Message::Finished { job, answer } => Self::Finished(job.0, (*answer).into()),
             Message::Withdraw { job } => Self::Withdraw(job.0),
+            Message::WantQueues { version } => Self::WantQueues(*version),
             Message::Queues(table) => Self::Queues(
                 table.version,
                 table.max_body_bytes,
@@ -152,6 +155,7 @@
             MessageWire::Withdraw(job) => Self::Withdraw {
                 job: ClientJobId(job),
             },
+            MessageWire::WantQueues(version) => Self::WantQueues { version },
             MessageWire::Queues(version, max_body_bytes, queues) => {
                 let queues = queues.into_iter().map(Queue::try_from);
                 let queues = queues.collect::<Result<_, _>>()?;
