--- a/crates/core/src/guarded/systems/looks.rs
+++ b/crates/core/src/guarded/systems/looks.rs
@@ -2,7 +2,7 @@
 
 use super::holding;
 use crate::guarded::model::ids::{RunId, WorkerId};
-use crate::guarded::model::reply::{Listing, LookReply};
+use crate::guarded::model::reply::{Listing, LookReply, RunEnd};
 use crate::guarded::model::resources::Resources;
 use crate::guarded::order::{Look, Order};
 use crate::guarded::tables::worker::{Hold, PendingLook, Run, RunState};
@@ -14,6 +14,8 @@
 const TAKING_WAIT: Duration = Duration::from_millis(20);
 /// Time after which a worker that another VM took over is tried again.
 const FENCED_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time after which a worker is tried again at whose address another one answered.
+const REPLACED_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time after which a stop without an answer is repeated.
 const STOP_RETRY: Duration = Duration::from_millis(60);
 
@@ -70,7 +72,7 @@
     match reply {
         LookReply::Listed(listing) => listed(world, cx, id, pending.sent, listing),
         LookReply::Fenced => fenced(world, cx.now, id),
-        LookReply::OtherBoot => rebooted(world, cx, id, None),
+        LookReply::OtherBoot => replaced(world, cx.now, id),
         LookReply::Silent => world.stats.silent_orders += 1,
     }
 }
@@ -95,9 +97,24 @@
     tracing::info!(worker = %id, token = row.token.0, was_taking, "a worker saw a higher token");
 }
 
+/// Another worker answers at the address: the one that was meant is gone with all its runs, and
+/// nothing that is under way to it can start.
+pub fn replaced(world: &mut World, now: Time, id: WorkerId) {
+    tracing::info!(worker = %id, "another worker answers at the address");
+    world.end_all_runs(id, RunEnd::Broken);
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    row.forget_clock(now);
+    row.boot = None;
+    row.last_seen = 0;
+    row.look = None;
+    row.hold = Hold::Fenced(now + REPLACED_PAUSE);
+}
+
 /// The worker has started anew. A start that was under way may have reached the new boot, so each
 /// run counts as there until the worker was looked at under a new token.
-pub fn rebooted(world: &mut World, cx: &mut Cx<'_>, id: WorkerId, boot: Option<u64>) {
+fn rebooted(world: &mut World, cx: &Cx<'_>, id: WorkerId, boot: Option<u64>) {
     tracing::info!(worker = %id, boot, "a worker has started anew");
     let Some(row) = world.workers.get_mut(&id) else {
         return;
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -37,7 +37,7 @@
             silent(world, cx, worker, id);
         }
         StartReply::Fenced => looks::fenced(world, cx.now, worker),
-        StartReply::OtherBoot => looks::rebooted(world, cx, worker, None),
+        StartReply::OtherBoot => looks::replaced(world, cx.now, worker),
         StartReply::NoRoom
         | StartReply::Late
         | StartReply::OldRun
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -55,7 +55,7 @@
             }
         }
         StopReply::Fenced => looks::fenced(world, cx.now, worker),
-        StopReply::OtherBoot => looks::rebooted(world, cx, worker, None),
+        StopReply::OtherBoot => looks::replaced(world, cx.now, worker),
         StopReply::Silent => {
             world.stats.silent_orders += 1;
             order_again(world, cx, worker, id);
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -129,6 +129,17 @@
         assert_eq!(sim.workers[0].started, before);
     };
 
+    /// Another worker answers at the address of one whose entry is still listed: its tasks start
+    /// elsewhere, and it is not asked again at each turn.
+    a_worker_replaced_at_its_address_is_left_alone(ONE_VM) => |sim| {
+        let id = sim.submit(0, 8, 300, 0);
+        sim.advance(100);
+        sim.replace_worker(3);
+        sim.advance(3_000);
+        assert!(sim.completed_in(id).is_some(), "{:?}", answer(sim, id));
+        assert!(sim.misdirected <= 12, "{} orders to it", sim.misdirected);
+    };
+
     /// The VM that a client called is lost: its runs end before the client sends the job again.
     runs_end_with_their_entry(TWO_DATA_CENTRES) => |sim| {
         let holder = sim.holder(0);
--- a/crates/core/tests/guarded/sim.rs
+++ b/crates/core/tests/guarded/sim.rs
@@ -102,6 +102,10 @@
     cut: BTreeSet<(usize, usize)>,
     /// VMs and workers that can't reach each other.
     worker_cut: BTreeSet<(usize, usize)>,
+    /// Workers at whose address another one answers.
+    replaced: BTreeSet<usize>,
+    /// Orders that reached them.
+    pub misdirected: u64,
     rng: SmallRng,
     next_call: u64,
     next_job: u64,
@@ -133,6 +137,8 @@
             links: BTreeSet::new(),
             cut: BTreeSet::new(),
             worker_cut: BTreeSet::new(),
+            replaced: BTreeSet::new(),
+            misdirected: 0,
             rng,
             next_call: 0,
             next_job: 1,
@@ -522,6 +528,16 @@
         self.announce(worker);
     }
 
+    /// Another worker answers at the address of this one, whose entry the registry still has.
+    pub fn replace_worker(&mut self, worker: usize) {
+        let tasks: Vec<TaskId> = self.workers[worker].tasks().collect();
+        for task in tasks {
+            self.ledger.ended(worker, task);
+        }
+        self.workers[worker].reboot(self.now);
+        self.replaced.insert(worker);
+    }
+
     pub fn set_conduct(&mut self, worker: usize, conduct: Conduct) {
         self.workers[worker].conduct = conduct;
     }
@@ -579,6 +595,13 @@
 
     fn carry_out(&mut self, worker: usize, vm: usize, boot: u32, order: Order, answered: bool) {
         self.advance_worker(worker);
+        if self.replaced.contains(&worker) {
+            self.misdirected += 1;
+            if let Some(event) = misdirected(&order) {
+                self.reply(vm, boot, event);
+            }
+            return;
+        }
         match order {
             Order::Look(look) => self.look(worker, vm, boot, look, answered),
             Order::Start(start) => {
@@ -878,3 +901,25 @@
         completed.then(|| (record.over.unwrap_or(self.now) - record.sent) / MS)
     }
 }
+
+/// The reply of another worker than the one that an order is meant for.
+fn misdirected(order: &Order) -> Option<Event> {
+    Some(match order {
+        Order::Look(look) => Event::Looked {
+            worker: look.worker,
+            look: look.look,
+            reply: LookReply::OtherBoot,
+        },
+        Order::Start(start) => Event::Started {
+            worker: start.worker,
+            run: start.run,
+            reply: StartReply::OtherBoot,
+        },
+        Order::Stop { worker, run, .. } => Event::Stopped {
+            worker: *worker,
+            run: *run,
+            reply: StopReply::OtherBoot,
+        },
+        _ => return None,
+    })
+}
