--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -94,6 +94,7 @@
                         .timers
                         .subscribe(now + systems::sweep::INTERVAL, Timer::Sweep);
                     systems::holding::run(world, cx);
+                    systems::entry::place_waiting(world, cx);
                 }
             }
             if timer == Timer::Heartbeat {
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -250,6 +250,7 @@
         task,
         number: entry.next_run,
     };
+    entry.last_run = entry.next_run;
     entry.next_run += 1;
     entry.state = TaskState::Active(worker);
     world.stats.starts += 1;
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -21,6 +21,8 @@
 const MAX_PLACEMENTS: u32 = 4;
 /// Time before the end of a stop from which on no job is taken in.
 const LAST_JOBS: Duration = Duration::from_millis(2_500);
+/// Time for which a job waits for a runner.
+const UNPLACED_LIMIT: Duration = Duration::from_millis(700);
 /// Time after which a client may try again when no runner is known.
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(1);
 
@@ -76,12 +78,18 @@
         return;
     };
     let job = Arc::clone(&row.job);
+    let waited = cx.now.since(row.submitted);
     let Some(choice) = choose(world, cx, &job) else {
-        let answer = Answer::Refused {
-            cause: RefusalCause::NoRunner,
-            retry_after: NO_RUNNER_RETRY,
-        };
-        finish(world, cx, id, answer);
+        // A cell is without a holder only for moments, while it passes to another VM.
+        if waited > UNPLACED_LIMIT.min(job.patience / 2) {
+            let answer = Answer::Refused {
+                cause: RefusalCause::NoRunner,
+                retry_after: NO_RUNNER_RETRY,
+            };
+            finish(world, cx, id, answer);
+        } else if let Some(row) = world.entries.get_mut(&id) {
+            row.runner = None;
+        }
         return;
     };
     let Some(row) = world.entries.get_mut(&id) else {
@@ -111,6 +119,15 @@
     });
 }
 
+/// Tries again to place the jobs for which there was no runner.
+pub fn place_waiting(world: &mut World, cx: &mut Cx<'_>) {
+    let waiting = world.entries.values().filter(|row| row.runner.is_none());
+    let waiting: Vec<_> = waiting.map(|row| row.job.id).collect();
+    for id in waiting {
+        place(world, cx, id);
+    }
+}
+
 /// A VM that could run a job.
 #[derive(Clone, Copy, Debug)]
 struct Choice {
--- a/crates/core/src/guarded/systems/holding.rs
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Time for which a VM must have been connected before a cell passes to it from one elsewhere.
+/// Time for which a VM must have been up before a cell of its data centre comes back to it.
 const HOME_AFTER: Duration = Duration::from_secs(1);
 
 /// Tells whether this VM claims the cell of a worker.
@@ -99,60 +99,66 @@
     cells.collect()
 }
 
-/// Returns the VM that should hold a cell: a live holder keeps it unless the cell has come from
-/// another data centre and could go home; of several claims, and without one, the first in
-/// rendezvous order wins.
+/// Returns the VM that should hold a cell: a live holder keeps it, unless it is elsewhere and a VM
+/// of the cell's data centre has been up for a while; of several claims, and without one, the first
+/// in rendezvous order wins.
 fn holder(world: &World, now: Time, cell: &Cell) -> Option<Incarnation> {
-    let home: Vec<_> = candidates(world, now, HOME_AFTER)
-        .filter(|(vm, _)| vm.data_centre == cell.data_centre)
-        .collect();
-    let live: Vec<_> = candidates(world, now, Duration::ZERO).collect();
-    let at_home: Vec<_> = live
-        .iter()
-        .copied()
-        .filter(|(vm, _)| vm.data_centre == cell.data_centre)
-        .collect();
-    let eligible = if !home.is_empty() {
-        home
-    } else if !at_home.is_empty() {
-        at_home
+    let live: Vec<Candidate> = candidates(world, now).collect();
+    let at_home = |vm: &&Candidate| vm.id.data_centre == cell.data_centre;
+    let claims = |vm: &&Candidate| claims(world, vm.id, cell);
+    let home = || live.iter().filter(at_home);
+    let seasoned = || home().filter(|vm| vm.up_for >= HOME_AFTER);
+    first_in_order(cell, home().filter(claims))
+        .or_else(|| {
+            let elsewhere = first_in_order(cell, live.iter().filter(claims))?;
+            first_in_order(cell, seasoned()).or(Some(elsewhere))
+        })
+        .or_else(|| first_in_order(cell, home()))
+        .or_else(|| first_in_order(cell, live.iter()))
+}
+
+fn claims(world: &World, vm: Incarnation, cell: &Cell) -> bool {
+    if vm == world.me {
+        world.claimed.contains(cell)
     } else {
-        live
-    };
-    let claims = |vm: Incarnation| {
-        if vm == world.me {
-            world.claimed.contains(cell)
-        } else {
-            world.members.get(&vm).is_some_and(|row| row.holds(cell))
-        }
+        world.members.get(&vm).is_some_and(|row| row.holds(cell))
+    }
+}
+
+/// A VM that could hold a cell.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    id: Incarnation,
+    weight: u32,
+    /// Time for which it has been known to serve.
+    up_for: Duration,
+}
+
+/// Iterates over the VMs that serve.
+fn candidates(world: &World, now: Time) -> impl Iterator<Item = Candidate> {
+    let me = Candidate {
+        id: world.me,
+        weight: world.site.weight,
+        up_for: now.since(world.settled_at),
     };
-    let claimants = eligible.iter().copied().filter(|(vm, _)| claims(*vm));
-    first_in_order(cell, claimants).or_else(|| first_in_order(cell, eligible.iter().copied()))
-}
-
-/// Iterates over the VMs that serve, with their weights.
-fn candidates(
-    world: &World,
-    now: Time,
-    connected_for: Duration,
-) -> impl Iterator<Item = (Incarnation, u32)> {
-    let me = world
-        .is_serving()
-        .then_some((world.me, world.site.weight))
-        .into_iter();
+    let me = world.is_serving().then_some(me).into_iter();
     let silence = world.policy.peer_silence;
-    let peers = world.members.iter().filter(move |(_, row)| {
-        let live = now.since(row.heard) < silence && now.since(row.since) >= connected_for;
-        live && row.is_serving()
-    });
-    me.chain(peers.map(|(&vm, row)| (vm, row.weight())))
+    let peers = world
+        .members
+        .iter()
+        .filter(move |(_, row)| now.since(row.heard) < silence && row.is_serving());
+    me.chain(peers.map(move |(&id, row)| Candidate {
+        id,
+        weight: row.weight(),
+        up_for: now.since(row.since),
+    }))
 }
 
-fn first_in_order(
+fn first_in_order<'a>(
     cell: &Cell,
-    vms: impl Iterator<Item = (Incarnation, u32)>,
+    vms: impl Iterator<Item = &'a Candidate>,
 ) -> Option<Incarnation> {
-    vms.map(|(vm, weight)| (rendezvous_score(cell, vm, weight), vm))
+    vms.map(|vm| (rendezvous_score(cell, vm.id, vm.weight), vm.id))
         .max_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, vm)| vm)
 }
--- a/crates/core/src/guarded/systems/progress.rs
+++ b/crates/core/src/guarded/systems/progress.rs
@@ -59,7 +59,7 @@
     };
     let was_running = task.state == TaskState::Active(over.worker);
     // The run may belong to an earlier submission of the same job.
-    if !was_running || task.next_run != over.run.id.number + 1 {
+    if !was_running || task.last_run != over.run.id.number {
         return;
     }
     match over.end {
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -55,10 +55,20 @@
             retry_after: wait,
         });
     }
+    if job.started && world.claimed.is_empty() && world.is_serving() && !is_running(job) {
+        // Others hold the workers now; the client's next attempt finds them.
+        return Some(Answer::Lost(LossCause::RunnerLost));
+    }
     let over = cx.now > job.deadline + PATIENCE_SLACK;
     over.then_some(Answer::Lost(LossCause::DeadlinePassed))
 }
 
+/// Tells whether a run of the job is on any worker.
+fn is_running(job: &RunnerJob) -> bool {
+    let mut tasks = job.tasks.iter();
+    tasks.any(|task| matches!(task.state, TaskState::Active(_)))
+}
+
 /// Stops runs that take far longer than predicted, so that their tasks start elsewhere.
 fn stop_hanging(world: &mut World, cx: &Cx<'_>) {
     let hangs = |run: &Run| match run.state {
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -26,6 +26,8 @@
     pub id: TaskId,
     /// What it is doing.
     pub state: TaskState,
+    /// Number of its last run, 0 for none.
+    pub last_run: u64,
     /// Number of its next run.
     pub next_run: u64,
     /// Runs that failed.
@@ -81,6 +83,7 @@
                 index,
             },
             state: TaskState::Waiting,
+            last_run: 0,
             next_run: 1,
             failures: 0,
             avoid: None,
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -12,6 +12,18 @@
     data_centres: 1,
     workers: 4,
 };
+/// One data centre with two VMs and three workers.
+const TWO_VMS: Shape = Shape {
+    vms: 2,
+    data_centres: 1,
+    workers: 3,
+};
+/// Two VMs and one worker.
+const ONE_WORKER: Shape = Shape {
+    vms: 2,
+    data_centres: 1,
+    workers: 1,
+};
 /// Two data centres with two VMs and three workers each.
 const TWO_DATA_CENTRES: Shape = Shape {
     vms: 4,
@@ -186,6 +198,42 @@
         assert_eq!(sim.holder(0), entry);
     };
 
+    /// The only other VM stops: jobs that come while its workers pass over wait for a moment.
+    jobs_wait_while_a_cell_passes_over(TWO_VMS) => |sim| {
+        let holder = sim.holder(0);
+        let entry = 1 - holder;
+        let mut ids = Vec::new();
+        for round in 0..40 {
+            if round == 10 {
+                sim.stop(holder);
+            }
+            ids.push(sim.submit(entry, 2, 150, 0));
+            sim.advance(60);
+        }
+        sim.advance(4_000);
+        for id in ids {
+            assert_eq!(answer(sim, id), Some(Answer::Completed));
+        }
+    };
+
+    /// All VMs start at once: each cell is taken over once, and no worker changes hands.
+    a_cold_start_takes_each_worker_over_once(TWO_DATA_CENTRES) => |sim| {
+        sim.advance(3_000);
+        assert_eq!(sim.takeovers(), 6);
+    };
+
+    /// A job is sent again to a worker that has stopped its first run: later runs have higher
+    /// numbers there.
+    a_job_sent_again_runs_where_it_was_stopped(ONE_WORKER) => |sim| {
+        let holder = sim.holder(0);
+        let id = sim.submit(holder, 1, 600, 0);
+        sim.advance(100);
+        sim.kill(holder, false);
+        sim.boot(holder);
+        sim.advance(4_000);
+        assert!(sim.completed_in(id).is_some(), "{:?}", answer(sim, id));
+    };
+
     /// More than one data centre can run: the rest goes where there is room.
     a_full_data_centre_spills(TWO_DATA_CENTRES) => |sim| {
         let ids: Vec<_> = (0..6).map(|_| sim.submit(0, 4, 300, 0)).collect();
--- a/crates/core/tests/guarded/sim.rs
+++ b/crates/core/tests/guarded/sim.rs
@@ -894,6 +894,14 @@
         holders[0]
     }
 
+    /// Returns how often a worker was taken over by the present VMs.
+    pub fn takeovers(&self) -> u64 {
+        let dispatchers = self.vms.iter().filter_map(|vm| vm.dispatcher.as_ref());
+        dispatchers
+            .map(|dispatcher| dispatcher.stats().takeovers)
+            .sum()
+    }
+
     /// Returns the time from submission to answer of a job, in milliseconds, if it completed.
     pub fn completed_in(&self, id: ClientJobId) -> Option<u64> {
         let record = &self.ledger.jobs[&id];
