--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::model::time::Time;
 use std::cmp::Ordering;
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Part of the predicted run time that a task must have left to count as in time; predictions are
@@ -242,7 +243,7 @@
     let step = &job.job.steps[task.step as usize];
     let predicted = predict(world, cx.now, row, step);
     let (need, estimate): (Resources, Duration) = (step.need, step.estimate);
-    let payload = job.job.payload.clone();
+    let payload = Arc::clone(&job.job.payload);
     let job = world.jobs.get_mut(&task.job)?;
     job.started = true;
     let entry = job.task_mut(task)?;
--- a/crates/core/src/guarded/systems/progress.rs
+++ b/crates/core/src/guarded/systems/progress.rs
@@ -34,15 +34,13 @@
                 .learn(kind.as_ref(), over.run.estimate, actual);
             world.mean_run_ms += MEAN_GAIN * (actual.as_secs_f64() * 1e3 - world.mean_run_ms);
         }
-        (Some(RunEnd::Failed), _) => {
-            if row.health.failed(cx.now) {
-                world.stats.ejections += 1;
-                tracing::warn!(
-                    worker = %over.worker,
-                    failures = row.health.failures,
-                    "worker set aside after failures"
-                );
-            }
+        (Some(RunEnd::Failed), _) if row.health.failed(cx.now) => {
+            world.stats.ejections += 1;
+            tracing::warn!(
+                worker = %over.worker,
+                failures = row.health.failures,
+                "worker set aside after failures"
+            );
         }
         _ => {}
     }
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -7,6 +7,7 @@
 use crate::guarded::tables::runner_job::TaskState;
 use crate::guarded::tables::worker::{Hold, RunState};
 use crate::guarded::world::{Cx, World};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Orders to start one run at most; a worker that answers none of them is not well.
@@ -97,7 +98,7 @@
             let mut tasks = job.tasks.iter();
             tasks.any(|task| task.id == id.task && task.state == TaskState::Active(worker))
         })
-        .map(|job| job.job.payload.clone());
+        .map(|job| Arc::clone(&job.job.payload));
     match (payload, lease_end_ms) {
         (Some(payload), Some(lease_end_ms)) if held && run.tries < MAX_TRIES => {
             run.tries += 1;
