--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -17,6 +17,10 @@
 /// rough, so a little less may do.
 const IN_TIME_SHARE: f64 = 0.85;
 
+/// Factor on the predicted run time within which most tasks end; a task takes a slow worker only
+/// if it would still end in time then.
+const ESTIMATE_MARGIN: f64 = 1.25;
+
 /// Order in which jobs get their starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -183,7 +187,7 @@
         let candidate = Candidate {
             worker: row.entry.id,
             avoided: avoid == Some(row.entry.id),
-            in_time: now + predicted <= job.objective_at,
+            in_time: now + predicted.mul_f64(ESTIMATE_MARGIN) <= job.objective_at,
             predicted,
             left_milli: row.free().without(&step.need).cpu_milli,
         };
