--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -23,7 +23,7 @@
 
 /// Order in which jobs get their starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+pub struct Rank {
     /// Whether the latency objective can't be met any more.
     late: bool,
     /// Among late jobs, the higher priority first.
@@ -37,14 +37,7 @@
     if !has_room(world, cx.now) {
         return;
     }
-    let mut order: Vec<(Rank, ClientJobId)> = world
-        .jobs
-        .values()
-        .filter(|job| job.due_tasks().next().is_some())
-        .map(|job| (rank(world, cx.now, job), job.id()))
-        .collect();
-    order.sort_unstable();
-    for (_, id) in order {
+    for (_, id) in ranked(world, cx.now) {
         start_tasks(world, cx, id);
         if !has_room(world, cx.now) {
             return;
@@ -52,6 +45,17 @@
     }
 }
 
+/// Returns the jobs with tasks that wait, in the order of their turns.
+pub fn ranked(world: &World, now: Time) -> Vec<(Rank, ClientJobId)> {
+    let waiting = world.jobs.values();
+    let waiting = waiting.filter(|job| job.due_tasks().next().is_some());
+    let mut order: Vec<_> = waiting
+        .map(|job| (rank(world, now, job), job.id()))
+        .collect();
+    order.sort_unstable();
+    order
+}
+
 fn has_room(world: &World, now: Time) -> bool {
     let silence = world.policy.worker_silence;
     let mut rows = world.workers.values();
--- a/crates/core/src/guarded/systems/holding.rs
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -4,6 +4,7 @@
 use crate::guarded::model::cell::{Cell, CellLoad};
 use crate::guarded::model::ids::WorkerId;
 use crate::guarded::model::worker::WorkerEntry;
+use crate::guarded::tables::runner_job::RunnerJob;
 use crate::guarded::tables::worker::Hold;
 use crate::guarded::world::{Cx, Phase, World};
 use crate::model::ids::DataCentreId;
@@ -49,11 +50,7 @@
 /// Returns the processor that waiting tasks need, in thousandths of a core.
 pub fn waiting_milli(world: &World) -> u64 {
     let jobs = world.jobs.values();
-    jobs.flat_map(|job| {
-        job.due_tasks()
-            .map(|task| job.job.steps[task.id.step as usize].need.cpu_milli)
-    })
-    .sum()
+    jobs.map(RunnerJob::due_milli).sum()
 }
 
 /// Decides the cells of this VM, then takes over and releases workers accordingly.
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -2,6 +2,7 @@
 
 use super::{holding, stops};
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
+use crate::guarded::model::cell::CellLoad;
 use crate::guarded::model::ids::{ClientJobId, WorkerId};
 use crate::guarded::model::job::Job;
 use crate::guarded::model::message::Message;
@@ -17,7 +18,7 @@
 /// Time after which a job is tried again that met a stopping VM.
 const STOPPING_RETRY: Duration = Duration::from_millis(500);
 /// Shortest advice to come back.
-const MIN_RETRY: Duration = Duration::from_millis(200);
+pub const MIN_RETRY: Duration = Duration::from_millis(200);
 
 /// Takes in a job for `origin`, or joins it to the one under way.
 pub fn accept(
@@ -92,6 +93,20 @@
         .min(Duration::from_secs(30))
 }
 
+/// Returns the time that a task waits in cells with these loads behind others that need
+/// `ahead_milli` thousandths of a core.
+pub fn wait_behind(world: &World, loads: &[CellLoad], ahead_milli: u64) -> Duration {
+    let capacity: u64 = loads.iter().map(|load| load.capacity_milli).sum();
+    let free: u64 = loads.iter().map(|load| load.free_milli).sum();
+    let ahead = ahead_milli.saturating_sub(free);
+    if ahead == 0 || capacity == 0 {
+        return Duration::ZERO;
+    }
+    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+    let rounds = ahead as f64 / capacity as f64;
+    Duration::from_secs_f64(world.mean_run_ms / 1e3).mul_f64(rounds)
+}
+
 /// Answers all who wait for a job, and stops what is left of it.
 pub fn finish(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
     let Some(row) = give_up(world, cx, id) else {
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -1,7 +1,7 @@
 //! What is looked at from time to time: jobs that can't be served in time any more, runs that hang,
 //! workers that left the registry.
 
-use super::{runner, stops};
+use super::{dispatch, holding, runner, stops};
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::ids::{ClientJobId, RunId, WorkerId};
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
@@ -28,39 +28,53 @@
 }
 
 /// Refuses jobs of which nothing was started and that would end too late, and gives up those
-/// whose client waits no longer.
+/// whose client waits no longer. The jobs are looked at in the order of their turns, and each one
+/// that stays lets those behind it wait longer.
 fn give_up_hopeless(world: &mut World, cx: &mut Cx<'_>) {
-    let wait = runner::expected_wait(world, cx);
-    let hopeless: Vec<(ClientJobId, Answer)> = world
-        .jobs
-        .values()
-        .filter_map(|job| Some((job.id(), verdict(world, cx, job, wait)?)))
-        .collect();
-    for (id, answer) in hopeless {
-        runner::finish(world, cx, id, answer);
+    let loads = holding::loads(world, cx.now);
+    let mut ahead_milli = 0;
+    for (_, id) in dispatch::ranked(world, cx.now) {
+        let Some(job) = world.jobs.get(&id) else {
+            continue;
+        };
+        let wait = runner::wait_behind(world, &loads, ahead_milli);
+        match verdict(world, cx, job, wait) {
+            Some(answer) => runner::finish(world, cx, id, answer),
+            None => ahead_milli += job.due_milli(),
+        }
     }
+    give_up_overdue(world, cx);
 }
 
+/// Gives up jobs whose client should have left long ago, also those of which every task runs.
+fn give_up_overdue(world: &mut World, cx: &mut Cx<'_>) {
+    let overdue = |job: &&RunnerJob| cx.now > job.deadline + PATIENCE_SLACK;
+    let jobs = world.jobs.values().filter(overdue);
+    let overdue: Vec<ClientJobId> = jobs.map(RunnerJob::id).collect();
+    for id in overdue {
+        runner::finish(world, cx, id, Answer::Lost(LossCause::DeadlinePassed));
+    }
+}
+
+/// Decides about a job that has tasks which wait, and that gets its turn after `wait`.
 fn verdict(world: &World, cx: &Cx<'_>, job: &RunnerJob, wait: Duration) -> Option<Answer> {
-    if !job.started && !world.is_serving() {
+    if job.started {
+        let left_alone = world.claimed.is_empty() && world.is_serving() && !is_running(job);
+        // Others hold the workers now; the client's next attempt finds them.
+        return left_alone.then_some(Answer::Lost(LossCause::RunnerLost));
+    }
+    if !world.is_serving() {
         return Some(Answer::Refused {
             cause: RefusalCause::Stopping,
             retry_after: wait,
         });
     }
     let left = job.work_left(&world.estimator);
-    if !job.started && cx.now + left > job.deadline {
-        return Some(Answer::Refused {
-            cause: RefusalCause::Overloaded,
-            retry_after: wait,
-        });
-    }
-    if job.started && world.claimed.is_empty() && world.is_serving() && !is_running(job) {
-        // Others hold the workers now; the client's next attempt finds them.
-        return Some(Answer::Lost(LossCause::RunnerLost));
-    }
-    let over = cx.now > job.deadline + PATIENCE_SLACK;
-    over.then_some(Answer::Lost(LossCause::DeadlinePassed))
+    let too_late = cx.now + wait + left > job.deadline;
+    too_late.then_some(Answer::Refused {
+        cause: RefusalCause::Overloaded,
+        retry_after: wait.max(runner::MIN_RETRY),
+    })
 }
 
 /// Tells whether a run of the job is on any worker.
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -120,6 +120,14 @@
         waiting.filter(|task| self.is_due(task.id.step))
     }
 
+    /// Returns the processor that the tasks need which wait, in thousandths of a core.
+    pub fn due_milli(&self) -> u64 {
+        let needs = self.due_tasks();
+        needs
+            .map(|task| self.job.steps[task.id.step as usize].need.cpu_milli)
+            .sum()
+    }
+
     /// Returns the task of a name.
     pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         self.tasks.iter_mut().find(|task| task.id == id)
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -89,6 +89,21 @@
         assert!(completed >= 3, "{completed} completed");
     };
 
+    /// More comes than fits for a while: jobs that lose their turn are told early, not when their
+    /// client's patience ends.
+    a_long_burst_refuses_early(ONE_VM) => |sim| {
+        let mut ids = Vec::new();
+        for _ in 0..60 {
+            ids.push(sim.submit(0, 4, 300, 1));
+            sim.advance(50);
+        }
+        sim.advance(4_000);
+        let refused: Vec<u64> = ids.iter().filter_map(|&id| sim.refused_after(id)).collect();
+        let late = refused.iter().filter(|&&after| after > 1_600).count();
+        assert!(refused.len() >= 10, "{} refused", refused.len());
+        assert!(late * 4 <= refused.len(), "{late} of {} refused late", refused.len());
+    };
+
     /// A job that no worker could ever hold is refused without a start.
     an_impossible_job_is_refused(ONE_VM) => |sim| {
         let id = sim.submit_sized(0, 1, 100, 17_000);
--- a/crates/core/tests/guarded/sim.rs
+++ b/crates/core/tests/guarded/sim.rs
@@ -882,6 +882,13 @@
         }
     }
 
+    /// Returns the time from submission to refusal of a job, in milliseconds, if it was refused.
+    pub fn refused_after(&self, id: ClientJobId) -> Option<u64> {
+        let record = &self.ledger.jobs[&id];
+        let refused = matches!(record.answer, Some(Answer::Refused { .. }));
+        refused.then(|| (record.over.unwrap_or(self.now) - record.sent) / MS)
+    }
+
     /// Returns the VM that holds workers of a data centre, if there is exactly one.
     pub fn holder(&self, data_centre: usize) -> usize {
         let vms = (0..self.vms.len()).filter(|vm| vm % self.shape.data_centres == data_centre);
