--- /dev/null
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -0,0 +1,189 @@
+//! Entry VMs: starts, stops, kills, freezes, and what their dispatchers order.
+
+use super::*;
+impl Sim {
+    /// Starts a VM anew; its peers see another incarnation.
+    pub fn boot(&mut self, vm: usize) {
+        let me = self.incarnation(vm);
+        let row = &mut self.vms[vm];
+        row.me = me;
+        row.boot += 1;
+        row.started = self.now;
+        row.frozen_since = None;
+        row.frozen_total = 0;
+        row.backlog.clear();
+        row.dispatcher = Some(Dispatcher::new(
+            Member { me, weight: 25 },
+            Policy::default(),
+        ));
+        row.tick_at = self.now;
+        let boot = row.boot;
+        self.push(self.now, Ev::Tick(vm, boot));
+        let entries = (0..self.workers.len()).filter(|&w| self.workers[w].up);
+        let entries: Vec<_> = entries.map(|w| self.entry(w)).collect();
+        self.event(self.now + MS, vm, Event::Workers(entries));
+        let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
+        self.event(self.now + MS, vm, Event::Queues(table));
+        for peer in 0..self.vms.len() {
+            let wait = self.rng.random_range(20..300) * MS;
+            self.push(self.now + wait, Ev::Reconnect(vm, peer));
+        }
+    }
+
+    /// Ends a VM at once. Without power its peers only notice its silence.
+    pub fn kill(&mut self, vm: usize, power: bool) {
+        if self.vms[vm].dispatcher.take().is_none() {
+            return;
+        }
+        let me = self.vms[vm].me;
+        self.vms[vm].boot += 1;
+        self.drop_links(vm, me, if power { SILENCE } else { HOP });
+        let calls = std::mem::take(&mut self.vms[vm].calls);
+        for id in calls.into_values() {
+            self.lose_answer(id);
+        }
+    }
+
+    pub(super) fn drop_links(&mut self, vm: usize, me: Incarnation, delay: u64) {
+        for peer in 0..self.vms.len() {
+            let known = self.links.remove(&(vm, peer)) | self.links.remove(&(peer, vm));
+            if known {
+                let boot = self.vms[peer].boot;
+                self.push(self.now + delay, Ev::LinkDown(peer, boot, me));
+            }
+        }
+    }
+
+    /// Stops a VM gracefully.
+    pub fn stop(&mut self, vm: usize) {
+        if self.is_up(vm) {
+            self.event(self.now, vm, Event::Stop);
+        }
+    }
+
+    pub fn is_up(&self, vm: usize) -> bool {
+        self.vms[vm].dispatcher.is_some()
+    }
+
+    /// Suspends a VM. Its monotonic clock stands still meanwhile.
+    pub fn freeze(&mut self, vm: usize, ms: u64) {
+        if !self.is_up(vm) || self.vms[vm].frozen_since.is_some() {
+            return;
+        }
+        self.vms[vm].frozen_since = Some(self.now);
+        let boot = self.vms[vm].boot;
+        self.push(self.now + ms * MS, Ev::Thaw(vm, boot));
+        if ms * MS > SILENCE {
+            let me = self.vms[vm].me;
+            for peer in 0..self.vms.len() {
+                if self.links.contains(&(vm, peer)) {
+                    let boot = self.vms[peer].boot;
+                    self.push(self.now + SILENCE, Ev::LinkDown(peer, boot, me));
+                }
+            }
+        }
+    }
+
+    pub(super) fn thaw(&mut self, vm: usize, boot: u32) {
+        if self.vms[vm].boot != boot {
+            return;
+        }
+        let Some(since) = self.vms[vm].frozen_since.take() else {
+            return;
+        };
+        let span = self.now - since;
+        self.vms[vm].frozen_total += span;
+        if span >= 300 * MS {
+            self.run_vm(vm, Some(Event::Paused(Duration::from_micros(span))));
+        }
+        if span > SILENCE {
+            for peer in 0..self.vms.len() {
+                let known = self.links.remove(&(vm, peer)) | self.links.remove(&(peer, vm));
+                if known {
+                    let incarnation = self.vms[peer].me;
+                    self.event(self.now, vm, Event::PeerDown(incarnation));
+                    self.push(self.now + 250 * MS, Ev::Reconnect(vm, peer));
+                }
+            }
+        }
+        for event in std::mem::take(&mut self.vms[vm].backlog) {
+            self.event(self.now, vm, event);
+        }
+        let boot = self.vms[vm].boot;
+        self.vms[vm].tick_at = self.now;
+        self.push(self.now, Ev::Tick(vm, boot));
+    }
+
+    pub(super) fn vm_time(&self, vm: usize) -> Time {
+        let row = &self.vms[vm];
+        Time::from_micros(self.now - row.started - row.frozen_total)
+    }
+
+    pub(super) fn run_vm(&mut self, vm: usize, event: Option<Event>) {
+        if self.vms[vm].frozen_since.is_some() {
+            return;
+        }
+        let (now, unix_ms) = (self.vm_time(vm), 1_790_000_000_000 + self.now / MS);
+        if let Some(Event::Submit { call, .. }) = &event {
+            self.vms[vm].taken_in.insert(*call);
+        }
+        let mut orders = Vec::new();
+        let Some(dispatcher) = &mut self.vms[vm].dispatcher else {
+            return;
+        };
+        if let Some(event) = event {
+            dispatcher.handle(now, unix_ms, event, &mut orders);
+        }
+        dispatcher.tick(now, unix_ms, &mut orders);
+        let next = dispatcher.next_tick().expect("a timer");
+        let wait = u64::try_from(next.since(now).as_micros()).expect("a short time");
+        let at = self.now + wait.max(100);
+        self.vms[vm].tick_at = at;
+        let boot = self.vms[vm].boot;
+        self.push(at, Ev::Tick(vm, boot));
+        for order in orders {
+            self.take_order(vm, order);
+        }
+    }
+
+    pub(super) fn take_order(&mut self, vm: usize, order: Order) {
+        match order {
+            Order::Answer { call, answer } => {
+                // The client may have left already.
+                if let Some(id) = self.vms[vm].calls.remove(&call) {
+                    self.answer(id, answer);
+                }
+            }
+            Order::Send { to, message } => {
+                let Some(peer) = (0..self.vms.len()).find(|&p| self.vms[p].me == to) else {
+                    return;
+                };
+                if self.links.contains(&(vm, peer)) && !self.cut.contains(&(vm, peer)) {
+                    let from = self.vms[vm].me;
+                    self.event(self.now + HOP, peer, Event::Message { from, message });
+                }
+            }
+            Order::Look(look) => self.send_order(vm, look.worker, Order::Look(look)),
+            Order::Start(start) => self.send_order(vm, start.worker, Order::Start(start)),
+            Order::Stop { worker, run, token } => {
+                self.send_order(vm, worker, Order::Stop { worker, run, token });
+            }
+            Order::AdoptQueues(table) => {
+                let boot = self.vms[vm].boot;
+                self.ledger.adopted(vm, boot, table.version);
+            }
+            Order::Closed => {
+                let me = self.vms[vm].me;
+                self.vms[vm].dispatcher = None;
+                self.vms[vm].boot += 1;
+                let calls = std::mem::take(&mut self.vms[vm].calls);
+                for (call, id) in calls {
+                    let taken_in = self.vms[vm].taken_in.contains(&call);
+                    assert!(!taken_in, "a stop left {id} without an answer");
+                    self.lose_answer(id);
+                }
+                self.drop_links(vm, me, HOP);
+            }
+        }
+    }
+}
