--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -8,12 +8,13 @@
 use signal_hook::iterator::Signals;
 use std::path::PathBuf;
 
-const USAGE: &str = "Usage: cardamomslipd --config FILE [--check]";
-
-/// What the command line asks for.
-struct Args {
-    config: PathBuf,
-    check: bool,
+/// What the command line of a daemon asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonArgs {
+    /// The settings.
+    pub config: PathBuf,
+    /// Whether the settings are only checked.
+    pub check: bool,
 }
 
 /// Runs the daemon until it is stopped by a signal.
@@ -22,7 +23,7 @@
 ///
 /// Returns an error if the command line or the settings are wrong, or the daemon can't start.
 pub fn run() -> Result<()> {
-    let Some(args) = parse_args()? else {
+    let Some(args) = DaemonArgs::parse("cardamomslipd")? else {
         return Ok(());
     };
     let settings = Settings::load(&args.config)?;
@@ -37,31 +38,40 @@
     Ok(())
 }
 
-fn parse_args() -> Result<Option<Args>> {
-    let mut opts = Options::new();
-    opts.optopt("c", "config", "settings in YAML", "FILE");
-    opts.optflag("", "check", "check the settings and exit");
-    opts.optflag("h", "help", "print this help");
-    opts.optflag("V", "version", "print the version");
-    let matches = match opts.parse(std::env::args().skip(1)) {
-        Ok(matches) => matches,
-        Err(e) => bail!("{e}\n{}", opts.usage(USAGE)),
-    };
-    if matches.opt_present("help") {
-        print!("{}", opts.usage(USAGE));
-        return Ok(None);
-    }
-    if matches.opt_present("version") {
-        println!("cardamomslipd {}", env!("CARGO_PKG_VERSION"));
-        return Ok(None);
+impl DaemonArgs {
+    /// Parses the command line of this process. `None` if it asked for help or the version, which
+    /// was printed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the usage if an option is wrong or missing.
+    pub fn parse(program: &str) -> Result<Option<Self>> {
+        let usage = format!("Usage: {program} --config FILE [--check]");
+        let mut opts = Options::new();
+        opts.optopt("c", "config", "settings in YAML", "FILE");
+        opts.optflag("", "check", "check the settings and exit");
+        opts.optflag("h", "help", "print this help");
+        opts.optflag("V", "version", "print the version");
+        let matches = match opts.parse(std::env::args().skip(1)) {
+            Ok(matches) => matches,
+            Err(e) => bail!("{e}\n{}", opts.usage(&usage)),
+        };
+        if matches.opt_present("help") {
+            print!("{}", opts.usage(&usage));
+            return Ok(None);
+        }
+        if matches.opt_present("version") {
+            println!("{program} {}", env!("CARGO_PKG_VERSION"));
+            return Ok(None);
+        }
+        let Some(config) = matches.opt_str("config") else {
+            bail!("--config is missing\n{}", opts.usage(&usage));
+        };
+        Ok(Some(Self {
+            config: config.into(),
+            check: matches.opt_present("check"),
+        }))
     }
-    let Some(config) = matches.opt_str("config") else {
-        bail!("--config is missing\n{}", opts.usage(USAGE));
-    };
-    Ok(Some(Args {
-        config: config.into(),
-        check: matches.opt_present("check"),
-    }))
 }
 
 /// The first signal begins the graceful stop, a second one ends the process at once.
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -4,7 +4,7 @@
 use super::model::answer::LossCause;
 use super::model::ids::WorkerId;
 use super::model::message::Message;
-use super::model::queue::{QueueTable, Site};
+use super::model::queue::QueueTable;
 use super::model::worker::WorkerEntry;
 use super::order::Order;
 use super::policy::Policy;
@@ -39,11 +39,7 @@
     /// Starts a dispatcher.
     #[must_use]
     pub fn new(member: Member, policy: Policy) -> Self {
-        let site = Site {
-            data_centre: member.me.data_centre,
-            weight: member.weight,
-        };
-        let mut world = World::new(member.me, site, policy);
+        let mut world = World::new(member.me, member.weight, policy);
         world.timers.subscribe(Time::ZERO, Timer::Heartbeat);
         world.timers.subscribe(Time::ZERO, Timer::Sweep);
         Self { world }
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -1,7 +1,7 @@
 //! Messages between the entry VMs.
 
 use super::answer::Answer;
-use super::cell::{Cell, CellLoad};
+use super::cell::CellLoad;
 use super::ids::{ClientJobId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
@@ -54,8 +54,6 @@
     pub token: u64,
     /// Cells that it holds.
     pub cells: Vec<CellLoad>,
-    /// Cells that it gives up, as soon as their workers are idle.
-    pub yielding: Vec<Cell>,
     /// Workers that it still holds of cells that it does not hold any more.
     pub still_held: Vec<WorkerId>,
 }
--- a/crates/core/src/guarded/model/queue.rs
+++ b/crates/core/src/guarded/model/queue.rs
@@ -2,7 +2,6 @@
 
 use super::job::Terms;
 use crate::collections::FastMap;
-use crate::model::ids::DataCentreId;
 use std::sync::Arc;
 
 /// A queue.
@@ -61,12 +60,3 @@
         self.queues.values().flatten()
     }
 }
-
-/// Where an entry VM is and how large it is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Site {
-    /// Data centre of the VM.
-    pub data_centre: DataCentreId,
-    /// Size relative to other VMs.
-    pub weight: u32,
-}
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -149,7 +149,7 @@
             ..*load
         };
         let wait = load.expected_wait();
-        let near = load.cell.data_centre == world.site.data_centre;
+        let near = load.cell.data_centre == world.me.data_centre;
         let cost = if near { wait } else { wait + SPILL_MARGIN };
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let choice = Choice {
--- a/crates/core/src/guarded/systems/holding.rs
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -71,7 +71,6 @@
             leaving = !world.is_serving(),
             "the cells of this VM have changed"
         );
-        world.yielding = world.claimed.difference(&mine).copied().collect();
         world.claimed = mine;
         world.heartbeat_due = true;
     }
@@ -135,7 +134,7 @@
 fn candidates(world: &World, now: Time) -> impl Iterator<Item = Candidate> {
     let me = Candidate {
         id: world.me,
-        weight: world.site.weight,
+        weight: world.weight,
         up_for: now.since(world.settled_at),
     };
     let me = world.is_serving().then_some(me).into_iter();
--- a/crates/core/src/guarded/systems/members.rs
+++ b/crates/core/src/guarded/systems/members.rs
@@ -108,12 +108,11 @@
         holding::loads(world, cx.now)
     };
     Heartbeat {
-        weight: world.site.weight,
+        weight: world.weight,
         leaving,
         queues_version: world.queues_version(),
         token: world.token.0,
         cells,
-        yielding: world.yielding.iter().copied().collect(),
         still_held: still_held.map(|row| row.entry.id).collect(),
     }
 }
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -3,7 +3,7 @@
 use super::model::answer::Answer;
 use super::model::cell::Cell;
 use super::model::ids::{ClientJobId, FencingToken, RunId, TaskId, WorkerId};
-use super::model::queue::{QueueTable, Site};
+use super::model::queue::QueueTable;
 use super::model::reply::RunEnd;
 use super::order::Order;
 use super::policy::Policy;
@@ -66,7 +66,8 @@
 #[derive(Debug)]
 pub struct World {
     pub me: Incarnation,
-    pub site: Site,
+    /// Size of this VM relative to the others.
+    pub weight: u32,
     pub policy: Policy,
     pub phase: Phase,
     pub timers: TimerService<Timer>,
@@ -80,8 +81,6 @@
     pub settled_at: Time,
     /// Cells whose workers this VM takes over and uses.
     pub claimed: BTreeSet<Cell>,
-    /// Cells that it gives up.
-    pub yielding: BTreeSet<Cell>,
     /// Highest fencing token seen.
     pub token: FencingToken,
     pub entries: FastMap<ClientJobId, EntryJob>,
@@ -108,10 +107,10 @@
 const TOKEN_STEP_MS: u64 = 100;
 
 impl World {
-    pub fn new(me: Incarnation, site: Site, policy: Policy) -> Self {
+    pub fn new(me: Incarnation, weight: u32, policy: Policy) -> Self {
         Self {
             me,
-            site,
+            weight,
             policy,
             phase: Phase::Serving,
             timers: TimerService::default(),
@@ -122,7 +121,6 @@
             members: BTreeMap::new(),
             settled_at: Time::ZERO + policy.settle,
             claimed: BTreeSet::new(),
-            yielding: BTreeSet::new(),
             token: FencingToken(0),
             entries: FastMap::default(),
             calls: FastMap::default(),
--- a/src/guarded/wire.rs
+++ b/src/guarded/wire.rs
@@ -53,9 +53,9 @@
     Queues(u64, u64, Vec<QueueWire>),
 }
 
-/// Weight, leaving, configuration version, token, cells, cells given up, workers still held.
+/// Weight, leaving, configuration version, token, cells, workers still held.
 #[derive(Debug, Serialize, Deserialize)]
-struct HeartbeatWire(u32, bool, u64, u64, Vec<LoadWire>, Vec<CellWire>, Vec<u64>);
+struct HeartbeatWire(u32, bool, u64, u64, Vec<LoadWire>, Vec<u64>);
 
 /// Data centre, number of cells, index.
 #[derive(Debug, Serialize, Deserialize)]
@@ -173,7 +173,6 @@
             beat.queues_version,
             beat.token,
             beat.cells.iter().map(LoadWire::from).collect(),
-            beat.yielding.iter().map(|&cell| cell.into()).collect(),
             beat.still_held.iter().map(|worker| worker.0).collect(),
         )
     }
@@ -183,16 +182,14 @@
     type Error = WireError;
 
     fn try_from(wire: HeartbeatWire) -> Result<Self, WireError> {
-        let HeartbeatWire(weight, leaving, queues_version, token, cells, yielding, held) = wire;
+        let HeartbeatWire(weight, leaving, queues_version, token, cells, held) = wire;
         let cells = cells.into_iter().map(CellLoad::try_from);
-        let yielding = yielding.into_iter().map(Cell::try_from);
         Ok(Self {
             weight,
             leaving,
             queues_version,
             token,
             cells: cells.collect::<Result<_, _>>()?,
-            yielding: yielding.collect::<Result<_, _>>()?,
             still_held: held.into_iter().map(WorkerId).collect(),
         })
     }
--- /dev/null
+++ b/tests/guarded_frames.rs
@@ -0,0 +1,118 @@
+//! Frames between entry VMs about guarded workers.
+
+use cardamomslip::peers::PeerMessage;
+use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
+use cardamomslip_core::guarded::model::cell::{Cell, CellLoad};
+use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId, WorkerId};
+use cardamomslip_core::guarded::model::job::{Job, Step, Terms};
+use cardamomslip_core::guarded::model::message::{Heartbeat, Message};
+use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
+use cardamomslip_core::guarded::model::resources::Resources;
+use cardamomslip_core::model::ids::DataCentreId;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+
+const TERMS: Terms = Terms {
+    queue: QueueId(3),
+    upstream: UpstreamId(4),
+    priority: 1,
+    max_attempts: 2,
+    stretch: 1.6,
+    target: Duration::from_millis(60),
+};
+
+fn heartbeat(of: u16, index: u16) -> Message {
+    Message::Heartbeat(Heartbeat {
+        weight: 25,
+        leaving: true,
+        queues_version: 17,
+        token: 1 << 52,
+        cells: vec![CellLoad {
+            cell: Cell {
+                data_centre: DataCentreId(u64::MAX),
+                of,
+                index,
+            },
+            capacity_milli: 16_000,
+            free_milli: 2_400,
+            waiting_milli: 6_800,
+            mean_run: Duration::from_micros(200_001),
+        }],
+        still_held: vec![WorkerId(9)],
+    })
+}
+
+fn place(after: Vec<u32>) -> Message {
+    let step = Step {
+        count: 8,
+        need: Resources {
+            cpu_milli: 6_800,
+            memory_mb: 64,
+            accelerators: 1,
+        },
+        estimate: Duration::from_millis(60),
+        after,
+        label: Some("a".into()),
+        near_rack: None,
+        per_worker: Some(2),
+    };
+    let first = Step {
+        after: Vec::new(),
+        ..step.clone()
+    };
+    Message::Place {
+        job: Arc::new(Job {
+            id: ClientJobId(7),
+            terms: TERMS,
+            payload: "what to do".into(),
+            steps: vec![first, step],
+            patience: Duration::from_millis(2_500),
+        }),
+        age: Duration::from_micros(1_234),
+    }
+}
+
+fn finished(answer: Answer) -> Message {
+    let job = ClientJobId(7);
+    Message::Finished { job, answer }
+}
+
+fn queues() -> Message {
+    let queue = Queue {
+        name: "r-1".into(),
+        host: "nony24.example".into(),
+        prefix: "/pule/".into(),
+        terms: TERMS,
+    };
+    Message::Queues(Arc::new(QueueTable::new(17, vec![queue], 4)))
+}
+
+#[rstest]
+#[case::heartbeat(heartbeat(4, 3))]
+#[case::place(place(vec![0]))]
+#[case::completed(finished(Answer::Completed))]
+#[case::failed(finished(Answer::Failed))]
+#[case::refused(finished(Answer::Refused {
+    cause: RefusalCause::Stopping,
+    retry_after: Duration::from_micros(1_500_001),
+}))]
+#[case::lost(finished(Answer::Lost(LossCause::Paused)))]
+#[case::withdraw(Message::Withdraw { job: ClientJobId(8) })]
+#[case::want_queues(Message::WantQueues { version: 16 })]
+#[case::queues(queues())]
+fn messages_survive_the_wire(#[case] message: Message) {
+    let frame = message.encode();
+    assert_eq!(Message::decode(&frame).expect("a message"), message);
+    assert!(Message::decode(&frame[..frame.len() - 1]).is_err());
+    let longer = [frame.as_slice(), &[0]].concat();
+    assert!(Message::decode(&longer).is_err());
+}
+
+#[rstest]
+#[case::cell_outside_of_its_number(heartbeat(4, 4))]
+#[case::number_that_is_no_power_of_two(heartbeat(3, 1))]
+#[case::step_that_waits_for_itself(place(vec![1]))]
+fn invalid_messages_are_refused(#[case] message: Message) {
+    assert!(Message::decode(&message.encode()).is_err());
+}
