--- a/crates/core/src/guarded/systems/looks.rs
+++ b/crates/core/src/guarded/systems/looks.rs
@@ -14,6 +14,14 @@
 const TAKING_WAIT: Duration = Duration::from_millis(20);
 /// Time after which a worker that another VM took over is tried again.
 const FENCED_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time after which a higher token is tried on a worker that saw one above the first.
+const TOO_LOW_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a hold counts as undisputed.
+const UNDISPUTED: Duration = Duration::from_secs(4);
+/// Doublings of these pauses at most.
+const MAX_DOUBLINGS: u32 = 6;
+/// Longest of these pauses.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Time after which a worker is tried again at whose address another one answered.
 const REPLACED_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time after which a stop without an answer is repeated.
@@ -85,13 +93,15 @@
         return;
     };
     let was_taking = row.hold == Hold::Taking;
-    // A token that was too low from the start is raised at once; a worker that was lost is left to
-    // the VM that took it.
-    let pause = if was_taking {
-        Duration::ZERO
+    // A token that was too low from the start is raised soon; a worker that was lost is left to the
+    // VM that took it. Rivals that can't hear each other leave ever longer pauses.
+    let first = if was_taking {
+        TOO_LOW_PAUSE
     } else {
         FENCED_PAUSE
     };
+    let pause = (first * (1 << row.fenced.min(MAX_DOUBLINGS))).min(LONGEST_PAUSE);
+    row.fenced += 1;
     row.hold = Hold::Fenced(now + pause);
     row.look = None;
     tracing::info!(worker = %id, token = row.token.0, was_taking, "a worker saw a higher token");
@@ -143,7 +153,11 @@
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
+    if row.hold == Hold::Held && cx.now.since(row.held_since) > UNDISPUTED {
+        row.fenced = 0;
+    }
     if row.hold == Hold::Taking && row.runs.is_empty() {
+        row.held_since = cx.now;
         row.hold = Hold::Held;
         tracing::info!(worker = %id, token = row.token.0, "worker held");
     }
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -6,6 +6,11 @@
 use crate::guarded::order::Order;
 use crate::guarded::tables::worker::{Hold, RunState};
 use crate::guarded::world::{Cx, World};
+use crate::model::time::Time;
+use std::time::Duration;
+
+/// Time after which a stop that was not answered is repeated.
+const SILENT_STOP_RETRY: Duration = Duration::from_millis(120);
 
 /// Marks a run as one that is to end, and leaves the order to [`run`].
 pub fn request(world: &mut World, cx: &Cx<'_>, worker: WorkerId, id: RunId) {
@@ -56,25 +61,26 @@
         }
         StopReply::Fenced => looks::fenced(world, cx.now, worker),
         StopReply::OtherBoot => looks::replaced(world, cx.now, worker),
-        StopReply::Silent => {
-            world.stats.silent_orders += 1;
-            order_again(world, cx, worker, id);
-        }
+        StopReply::Silent => world.stats.silent_orders += 1,
     }
 }
 
-/// Repeats a stop that was not answered, as long as the run may be there.
-fn order_again(world: &mut World, cx: &Cx<'_>, worker: WorkerId, id: RunId) {
-    let row = world.workers.get_mut(&worker);
-    let run = row.and_then(|row| row.runs.get_mut(&id.task));
-    if let Some(run) = run.filter(|run| run.id == id)
-        && let RunState::Stopping {
-            ordered,
-            acked: None,
-        } = &mut run.state
-    {
-        *ordered = cx.now;
-        world.stops.push((worker, id));
+/// Repeats the stops that were not answered, as long as the runs may be there.
+pub fn repeat_silent(world: &mut World, now: Time) {
+    let held = world.workers.values_mut();
+    for row in held.filter(|row| matches!(row.hold, Hold::Held | Hold::Taking)) {
+        let worker = row.entry.id;
+        for run in row.runs.values_mut() {
+            if let RunState::Stopping {
+                ordered,
+                acked: None,
+            } = &mut run.state
+                && now.since(*ordered) > SILENT_STOP_RETRY
+            {
+                *ordered = now;
+                world.stops.push((worker, run.id));
+            }
+        }
     }
 }
 
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -24,6 +24,7 @@
     give_up_hopeless(world, cx);
     stop_hanging(world, cx);
     drop_missing(world, cx);
+    stops::repeat_silent(world, cx.now);
     stops::end_lapsed(world, cx);
 }
 
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -111,6 +111,10 @@
     pub hold: Hold,
     /// Token of this VM's hold.
     pub token: FencingToken,
+    /// How often it saw a higher token since a hold that nobody disputed.
+    pub fenced: u32,
+    /// Time of the last take-over that succeeded.
+    pub held_since: Time,
     /// The look under way.
     pub look: Option<PendingLook>,
     /// Its boot.
@@ -141,6 +145,8 @@
             missing_since: None,
             hold: Hold::None,
             token: FencingToken(0),
+            fenced: 0,
+            held_since: Time::ZERO,
             look: None,
             boot: None,
             last_seen: 0,
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -167,6 +167,26 @@
         assert!(sim.misdirected <= 12, "{} orders to it", sim.misdirected);
     };
 
+    /// A worker is gone and refuses connections at once: a stop that can't be delivered is repeated
+    /// at intervals.
+    a_crashed_worker_is_not_hammered(ONE_VM) => |sim| {
+        let id = sim.submit(0, 8, 900, 0);
+        sim.advance(100);
+        sim.crash_worker(2);
+        sim.leave(id);
+        sim.advance(1_000);
+        assert!(sim.misdirected <= 60, "{} orders to it", sim.misdirected);
+    };
+
+    /// Two VMs that can't hear each other both believe to hold a cell: they don't take its workers
+    /// from each other all the time.
+    rivals_do_not_fight_over_workers(TWO_VMS) => |sim| {
+        sim.cut(0, 1);
+        sim.cut(1, 0);
+        sim.advance(6_000);
+        assert!(sim.takeovers() <= 40, "{} take-overs of 3 workers", sim.takeovers());
+    };
+
     /// The VM that a client called is lost: its runs end before the client sends the job again.
     runs_end_with_their_entry(TWO_DATA_CENTRES) => |sim| {
         let holder = sim.holder(0);
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -52,6 +52,16 @@
         self.announce(worker);
     }
 
+    /// A worker is gone for good; its entry stays.
+    pub fn crash_worker(&mut self, worker: usize) {
+        let tasks: Vec<TaskId> = self.workers[worker].tasks().collect();
+        for task in tasks {
+            self.ledger.ended(worker, task);
+        }
+        self.workers[worker].reboot(self.now);
+        self.workers[worker].up = false;
+    }
+
     /// Another worker answers at the address of this one, whose entry the registry still has.
     pub fn replace_worker(&mut self, worker: usize) {
         let tasks: Vec<TaskId> = self.workers[worker].tasks().collect();
@@ -73,7 +83,18 @@
             Order::Look(look) => u64::try_from(look.wait.as_micros()).expect("a short wait"),
             _ => 0,
         };
-        if self.worker_cut.contains(&(vm, worker)) || !self.workers[worker].up {
+        if !self.workers[worker].up {
+            // The connection is refused at once.
+            self.misdirected += 1;
+            let pause = if matches!(order, Order::Look(_)) {
+                50 * MS
+            } else {
+                HOP
+            };
+            self.silent(vm, &order, pause);
+            return;
+        }
+        if self.worker_cut.contains(&(vm, worker)) {
             self.silent(vm, &order, ORDER_TIMEOUT + wait);
             return;
         }
