Leave workers with their holders when a cut heals

Cause: while a data centre was cut off, VMs on either side claimed the cells of the other and kept taking their workers over. Ruled out: the registry (its entries came back after that), the settle time. Change: a worker that does not answer two looks of a take-over is probed without a token; once it answers, it is left alone for 800 ms, in which its holder is heard again. Test: recovery::a_healed_cut_leaves_workers_with_their_holders, failed first.

--- a/crates/core/src/guarded/model/cell.rs
+++ b/crates/core/src/guarded/model/cell.rs
@@ -1,6 +1,6 @@
 //! Groups of workers that one entry VM holds.
 
-use super::ids::WorkerId;
+use super::worker::WorkerEntry;
 use crate::model::ids::DataCentreId;
 use std::time::Duration;
 
@@ -27,12 +27,12 @@
         u16::try_from(cells.next_power_of_two()).unwrap_or(1 << 15)
     }
 
-    /// Tells whether a worker of the cell's data centre belongs to the cell.
+    /// Tells whether a worker belongs to the cell.
     #[must_use]
-    pub const fn has(&self, worker: WorkerId) -> bool {
+    pub fn contains(&self, worker: &WorkerEntry) -> bool {
         // The ids are hashes, so their high bits spread evenly.
-        let bucket = (worker.0 >> 32) as u16 & (self.of - 1);
-        bucket == self.index
+        let bucket = (worker.id.0 >> 32) as u16 & (self.of - 1);
+        worker.data_centre == self.data_centre && bucket == self.index
     }
 }
 
--- a/crates/core/src/guarded/systems/holding.rs
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -5,7 +5,7 @@
 use crate::guarded::model::ids::WorkerId;
 use crate::guarded::model::worker::WorkerEntry;
 use crate::guarded::tables::runner_job::RunnerJob;
-use crate::guarded::tables::worker::Hold;
+use crate::guarded::tables::worker::{Hold, Worker};
 use crate::guarded::world::{Cx, Phase, World};
 use crate::model::ids::DataCentreId;
 use crate::model::incarnation::Incarnation;
@@ -18,8 +18,7 @@
 
 /// Tells whether this VM claims the cell of a worker.
 pub fn is_claimed(world: &World, entry: &WorkerEntry) -> bool {
-    let mut cells = world.claimed.iter();
-    cells.any(|cell| cell.data_centre == entry.data_centre && cell.has(entry.id))
+    world.claimed.iter().any(|cell| cell.contains(entry))
 }
 
 /// Returns the load of the cells that this VM holds.
@@ -34,9 +33,7 @@
             mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
         };
         let rows = world.workers.values().filter(|row| {
-            row.entry.data_centre == cell.data_centre
-                && cell.has(row.entry.id)
-                && row.is_usable(now, world.policy.worker_silence * 2)
+            cell.contains(&row.entry) && row.is_usable(now, world.policy.worker_silence * 2)
         });
         for row in rows {
             load.capacity_milli += row.entry.capacity.cpu_milli;
@@ -75,6 +72,7 @@
         world.heartbeat_due = true;
     }
     release_idle(world);
+    forget_unreached(world);
     take_over(world, cx);
 }
 
@@ -198,6 +196,17 @@
     }
 }
 
+/// Stops the probes of workers that others use.
+fn forget_unreached(world: &mut World) {
+    let claimed = world.claimed.clone();
+    let is_claimed = |row: &Worker| claimed.iter().any(|cell| cell.contains(&row.entry));
+    let rows = world.workers.values_mut();
+    for row in rows.filter(|row| row.hold == Hold::Unreached && !is_claimed(row)) {
+        row.hold = Hold::None;
+        row.look = None;
+    }
+}
+
 fn release(world: &mut World, id: WorkerId) {
     if let Some(row) = world.workers.get_mut(&id) {
         row.hold = Hold::None;
@@ -215,7 +224,7 @@
         .filter(|row| match row.hold {
             Hold::None => true,
             Hold::Fenced(until) => cx.now >= until,
-            Hold::Taking | Hold::Held => false,
+            Hold::Taking | Hold::Held | Hold::Unreached => false,
         })
         .filter(|row| row.missing_since.is_none() && is_claimed(world, &row.entry))
         .map(|row| row.entry.id)
@@ -236,6 +245,7 @@
     row.hold = Hold::Taking;
     row.token = token;
     row.look = None;
+    row.unanswered = 0;
     world.stats.takeovers += 1;
     tracing::info!(worker = %id, token = token.0, "taking a worker over");
 }
--- a/crates/core/src/guarded/systems/looks.rs
+++ b/crates/core/src/guarded/systems/looks.rs
@@ -1,11 +1,11 @@
 //! Looks at workers: leases, ends of runs, and what is there.
 
 use super::holding;
-use crate::guarded::model::ids::{RunId, WorkerId};
+use crate::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use crate::guarded::model::reply::{Listing, LookReply, RunEnd};
 use crate::guarded::model::resources::Resources;
 use crate::guarded::order::{Look, Order};
-use crate::guarded::tables::worker::{Hold, PendingLook, Run, RunState};
+use crate::guarded::tables::worker::{Hold, PendingLook, Run, RunState, Worker};
 use crate::guarded::world::{Cx, World};
 use crate::model::time::Time;
 use std::time::Duration;
@@ -24,6 +24,11 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Time after which a worker is tried again at whose address another one answered.
 const REPLACED_PAUSE: Duration = Duration::from_millis(1_000);
+/// Looks without an answer after which a worker that is taken over counts as out of reach.
+const MAX_UNANSWERED: u32 = 2;
+/// Pause before a worker that was out of reach is taken over. Where a network heals, the VMs that
+/// use the worker are heard again within it.
+const REACHED_PAUSE: Duration = Duration::from_millis(800);
 /// Time after which a stop without an answer is repeated.
 const STOP_RETRY: Duration = Duration::from_millis(60);
 
@@ -32,7 +37,8 @@
     let due: Vec<WorkerId> = world
         .workers
         .values()
-        .filter(|row| matches!(row.hold, Hold::Held | Hold::Taking) && row.look.is_none())
+        .filter(|row| matches!(row.hold, Hold::Held | Hold::Taking | Hold::Unreached))
+        .filter(|row| row.look.is_none())
         .map(|row| row.entry.id)
         .collect();
     for id in due {
@@ -54,16 +60,22 @@
     let (lease_end_ms, wait) = match row.hold {
         Hold::Held if fresh => (row.extend_lease(cx.now, policy.lease), policy.look_wait),
         Hold::Held => (row.extend_lease(cx.now, policy.lease), Duration::ZERO),
-        _ if row.runs.is_empty() => (None, Duration::ZERO),
-        _ => (None, TAKING_WAIT),
+        Hold::Taking if !row.runs.is_empty() => (None, TAKING_WAIT),
+        _ => (None, Duration::ZERO),
+    };
+    // A worker does nothing for a probe, unless it has not seen any token yet.
+    let (token, last_seen) = if row.hold == Hold::Unreached {
+        (FencingToken(0), 0)
+    } else {
+        (row.token, row.last_seen)
     };
     world.stats.looks += 1;
     cx.order(Order::Look(Look {
         worker: id,
         look: number,
-        token: row.token,
+        token,
         lease_end_ms,
-        last_seen: row.last_seen,
+        last_seen,
         wait,
     }));
 }
@@ -77,11 +89,38 @@
         return;
     };
     row.look = None;
+    let probed = row.hold == Hold::Unreached;
     match reply {
+        // It has seen no token, so no VM uses it.
+        LookReply::Listed(_) if probed => row.hold = Hold::None,
+        LookReply::Fenced if probed => reached(row, cx.now),
         LookReply::Listed(listing) => listed(world, cx, id, pending.sent, listing),
         LookReply::Fenced => fenced(world, cx.now, id),
         LookReply::OtherBoot => replaced(world, cx.now, id),
-        LookReply::Silent => world.stats.silent_orders += 1,
+        LookReply::Silent => silent(world, id),
+    }
+}
+
+/// A worker that was out of reach answered a probe.
+fn reached(row: &mut Worker, now: Time) {
+    tracing::info!(worker = %row.entry.id, "a worker that was out of reach answers");
+    row.hold = Hold::Fenced(now + REACHED_PAUSE);
+}
+
+/// A look was not answered. A look that takes a worker over must not be under way when the network
+/// heals, since it would take the worker from a VM that uses it; so it gives way to probes.
+fn silent(world: &mut World, id: WorkerId) {
+    world.stats.silent_orders += 1;
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    if row.hold != Hold::Taking {
+        return;
+    }
+    row.unanswered += 1;
+    if row.unanswered >= MAX_UNANSWERED {
+        tracing::info!(worker = %id, token = row.token.0, "a worker is out of reach");
+        row.hold = Hold::Unreached;
     }
 }
 
@@ -146,6 +185,7 @@
     }
     row.boot = listing.boot.or(row.boot);
     row.answered = cx.now;
+    row.unanswered = 0;
     row.read_clock(cx.now, listing.clock_ms);
     take_ends(world, id, &listing);
     take_running(world, cx, id, &listing);
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -33,8 +33,10 @@
     Taking,
     /// It renews the lease and starts runs.
     Held,
-    /// Another VM took the worker over; not to be tried again before this time.
+    /// Another VM took the worker over, or may have; not to be tried again before this time.
     Fenced(Time),
+    /// It did not answer while it was taken over. It is probed without a token until it does.
+    Unreached,
 }
 
 /// What a run is doing.
@@ -111,6 +113,8 @@
     pub hold: Hold,
     /// Token of this VM's hold.
     pub token: FencingToken,
+    /// Looks in a row without an answer while it was taken over.
+    pub unanswered: u32,
     /// How often it saw a higher token since a hold that nobody disputed.
     pub fenced: u32,
     /// Time of the last take-over that succeeded.
@@ -145,6 +149,7 @@
             missing_since: None,
             hold: Hold::None,
             token: FencingToken(0),
+            unanswered: 0,
             fenced: 0,
             held_since: Time::ZERO,
             look: None,
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -31,18 +31,6 @@
     workers: 6,
 };
 
-/// Names each case and gives it an installation of its own.
-macro_rules! loads {
-    ($($(#[$doc:meta])* $name:ident($shape:expr) => $body:expr;)*) => {
-        $($(#[$doc])*
-        #[test]
-        fn $name() {
-            let body: fn(&mut Sim) = $body;
-            body(&mut Sim::new($shape, 7));
-        })*
-    };
-}
-
 fn answer(sim: &Sim, id: ClientJobId) -> Option<Answer> {
     sim.ledger.jobs[&id].answer
 }
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -9,8 +9,11 @@
     reason = "the numbers of the simulation are small"
 )]
 
+#[macro_use]
+mod cases;
 mod ledger;
 mod loads;
 mod oracle;
+mod recovery;
 mod sim;
 mod worker;
