Refuse a second connection to a peer that is alive

Cause: after a cut both VMs of a pair connect at about the same moment. Change: the accepting side reads the hello first and refuses a peer that it is connected to and has heard within half the silence limit; of two connections that cross all the same, both sides keep the one of the smaller identifier. Attempts to connect end after 400 ms, so that a network that has healed is found sooner, and the larger identifier waits 250 ms instead of 1 s. Ruled out: holding each connection back for a moment, which delays every start.

--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -1,6 +1,6 @@
 //! All connections to peers.
 
-use super::link::{self, LinkConfig, LinkError};
+use super::link::{self, Direction, LinkConfig, LinkError};
 use super::protocol::{PeerMessage, PeerSink};
 use crate::error::{Error, ErrorKind};
 use cardamomslip_core::collections::{FastMap, FastSet};
@@ -16,10 +16,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// Interval at which missing connections are looked for.
-const DIAL_INTERVAL: Duration = Duration::from_millis(200);
+const DIAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that the VM with the larger identifier leaves the other to connect first, so that two
 /// connections between one pair are rare.
-const DIAL_DELAY: Duration = Duration::from_millis(1_000);
+const DIAL_DELAY: Duration = Duration::from_millis(250);
 /// Time for which the last frames are written when the process stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -63,8 +63,14 @@
     Up {
         peer: Incarnation,
         number: u64,
+        direction: Direction,
         frames: mpsc::Sender<Vec<u8>>,
     },
+    /// A peer connects; may it?
+    Incoming {
+        peer: Incarnation,
+        admit: oneshot::Sender<bool>,
+    },
     /// A connection ended.
     Down { peer: Incarnation, number: u64 },
     /// A message came.
@@ -116,6 +122,14 @@
         });
     }
 
+    /// Asks whether a peer that connects may: not if it is connected already and alive. A hub that
+    /// has ended admits nobody.
+    pub async fn admits(&self, peer: Incarnation) -> bool {
+        let (tx, rx) = oneshot::channel();
+        self.send(HubEvent::Incoming { peer, admit: tx });
+        rx.await.unwrap_or(false)
+    }
+
     /// Numbers a new connection.
     pub fn next_link(&self) -> u64 {
         self.links.fetch_add(1, Ordering::Relaxed)
@@ -223,7 +237,10 @@
 #[derive(Debug)]
 struct Link {
     number: u64,
+    direction: Direction,
     frames: mpsc::Sender<Vec<u8>>,
+    /// Time of its last message.
+    heard: Instant,
 }
 
 /// An entry VM and the address at which its peers reach it.
@@ -297,15 +314,30 @@
             HubEvent::Up {
                 peer,
                 number,
+                direction,
                 frames,
-            } => self.link_up(peer, Link { number, frames }),
+            } => {
+                let link = Link {
+                    number,
+                    direction,
+                    frames,
+                    heard: Instant::now(),
+                };
+                self.link_up(peer, link);
+            }
+            HubEvent::Incoming { peer, admit } => {
+                // The connection may have been given up meanwhile.
+                let _ = admit.send(!self.is_alive(peer));
+            }
             HubEvent::Down { peer, number } => self.link_down(peer, number),
             HubEvent::Message {
                 peer,
                 number,
                 message,
             } => {
-                if self.is_current(peer, number) {
+                let link = self.links.get_mut(&peer);
+                if let Some(link) = link.filter(|link| link.number == number) {
+                    link.heard = Instant::now();
                     self.node.message(peer, *message);
                 }
             }
@@ -327,10 +359,29 @@
             .is_some_and(|link| link.number == number)
     }
 
+    /// Tells whether a peer is connected and was heard a short time ago.
+    fn is_alive(&self, peer: Incarnation) -> bool {
+        let limit = self.config.link.silence / 2;
+        let link = self.links.get(&peer);
+        link.is_some_and(|link| link.heard.elapsed() < limit)
+    }
+
+    /// Tells whether a connection is the one that both sides keep of two that cross: the one that
+    /// the VM with the smaller identifier opened.
+    fn is_preferred(&self, peer: Incarnation, link: &Link) -> bool {
+        (self.config.link.me.vm < peer.vm) == (link.direction == Direction::Outgoing)
+    }
+
     /// Uses a new connection. It replaces an older one to the same peer, which may be dead without
     /// this side knowing.
     fn link_up(&mut self, peer: Incarnation, link: Link) {
-        tracing::info!(%peer, "peer connected");
+        let kept = self.links.get(&peer).filter(|_| self.is_alive(peer));
+        if kept.is_some_and(|kept| self.is_preferred(peer, kept) && !self.is_preferred(peer, &link))
+        {
+            tracing::info!(%peer, "a second connection is closed");
+            return;
+        }
+        tracing::info!(%peer, replaces = kept.is_some(), "peer connected");
         if self.links.insert(peer, link).is_some() {
             self.node.peer_down(peer);
         }
@@ -376,6 +427,7 @@
             .collect();
         let unlisted = seeds.filter(|seed| listed.iter().all(|peer| peer.address != seed.address));
         self.targets.extend(unlisted);
+        self.dial_missing();
     }
 
     /// Connects to the peers to which there is no connection.
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -5,6 +5,7 @@
 use super::protocol::PeerMessage;
 use cardamomslip_core::model::incarnation::Incarnation;
 use futures_util::{SinkExt, StreamExt};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -17,6 +18,9 @@
 
 /// Largest frame, in bytes.
 const MAX_FRAME: usize = 16 * 1024 * 1024;
+/// Time for opening the TCP connection. The next attempt finds a network that has healed sooner than
+/// the retransmissions of an old one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for the whole handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for writing one frame.
@@ -53,6 +57,18 @@
     /// The process at the address is this one.
     #[error("the peer is this process")]
     Myself,
+    /// Another connection to the peer is in use and alive.
+    #[error("connected already")]
+    Duplicate,
+}
+
+/// Which side opened a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// This side.
+    Outgoing,
+    /// The peer.
+    Incoming,
 }
 
 type Socket = WebSocketStream<TcpStream>;
@@ -74,19 +90,25 @@
     tx: HubSender<M>,
 ) -> Result<(), LinkError> {
     let connect = async {
-        let stream = TcpStream::connect(address).await?;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connecting
+            .await
+            .unwrap_or(Err(ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{address}/");
         let mut req = url.into_client_request().map_err(Box::new)?;
         hello::sign(&mut req, config.secret.reveal());
         let client = client_async_with_config(req, stream, Some(socket_config()));
-        let (socket, _) = client.await.map_err(Box::new)?;
-        greet(socket, config.me).await
+        let (mut socket, _) = client.await.map_err(Box::new)?;
+        send_hello(&mut socket, config.me).await?;
+        let peer = read_hello(&mut socket, config.me).await?;
+        Ok((socket, peer))
     };
-    join(connect, &config, tx).await
+    join(connect, Direction::Outgoing, &config, tx).await
 }
 
-/// Accepts a connection and runs it until it ends.
+/// Accepts a connection and runs it until it ends. A second connection to a peer that is connected
+/// and alive is refused, so that nothing in flight on the first one is lost.
 ///
 /// # Errors
 ///
@@ -102,45 +124,50 @@
         #[allow(clippy::result_large_err, reason = "the type is the library's")]
         let check = move |req: &_, response| hello::check(req, response, secret.reveal());
         let server = accept_hdr_async_with_config(stream, check, Some(socket_config()));
-        let socket = server.await.map_err(Box::new)?;
-        greet(socket, config.me).await
+        let mut socket = server.await.map_err(Box::new)?;
+        let peer = read_hello(&mut socket, config.me).await?;
+        if !tx.admits(peer).await {
+            return Err(LinkError::Duplicate);
+        }
+        send_hello(&mut socket, config.me).await?;
+        Ok((socket, peer))
     };
-    join(connect, &config, tx).await
+    join(connect, Direction::Incoming, &config, tx.clone()).await
 }
 
 /// Waits for a handshake and runs the connection until it ends.
 async fn join<M: PeerMessage>(
     connect: impl Future<Output = Result<(Socket, Incarnation), LinkError>>,
+    direction: Direction,
     config: &LinkConfig,
     tx: HubSender<M>,
 ) -> Result<(), LinkError> {
     let shaken = timeout(HANDSHAKE_TIMEOUT, connect).await;
     let (socket, peer) = shaken.unwrap_or(Err(LinkError::Silent))?;
-    run(socket, peer, config, tx).await;
+    run(socket, peer, direction, config, tx).await;
+    Ok(())
+}
+
+async fn send_hello(socket: &mut Socket, me: Incarnation) -> Result<(), LinkError> {
+    let frame = Frame::Binary(Hello::encode(me).into());
+    socket.send(frame).await.map_err(Box::new)?;
     Ok(())
 }
 
-async fn greet(mut socket: Socket, me: Incarnation) -> Result<(Socket, Incarnation), LinkError> {
-    socket
-        .send(Frame::Binary(Hello::encode(me).into()))
-        .await
-        .map_err(Box::new)?;
-    let frame = socket
-        .next()
-        .await
-        .ok_or(LinkError::Silent)?
-        .map_err(Box::new)?;
-    let peer = Hello::decode(&frame.into_data())?;
+async fn read_hello(socket: &mut Socket, me: Incarnation) -> Result<Incarnation, LinkError> {
+    let frame = socket.next().await.ok_or(LinkError::Silent)?;
+    let peer = Hello::decode(&frame.map_err(Box::new)?.into_data())?;
     if peer == me {
         return Err(LinkError::Myself);
     }
-    Ok((socket, peer))
+    Ok(peer)
 }
 
 /// Carries messages until the connection breaks, falls silent or is replaced.
 async fn run<M: PeerMessage>(
     socket: Socket,
     peer: Incarnation,
+    direction: Direction,
     config: &LinkConfig,
     tx: HubSender<M>,
 ) {
@@ -149,6 +176,7 @@
     tx.send(HubEvent::Up {
         peer,
         number,
+        direction,
         frames: frames_tx,
     });
     let (mut sink, mut stream) = socket.split();
