Serve sooner after a cold start, and keep jobs from silent holders

Changes: a VM claims as soon as it has heard every VM that the registry lists, 200 ms after its start at the earliest; refused tokens are raised by steps that grow, every 20 ms at first, and not once for each worker; workers that are being taken over count as capacity; a job waits up to 700 ms for a cell without a holder rather than join a queue of more than 300 ms; peers that were silent for 260 ms get no new jobs; a job that is refused where it waits is placed elsewhere if the wait there is half as long. Tests: five in recovery.rs, each seen to fail with its change taken back.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -57,6 +57,7 @@
             Event::Worker(entry) => worker_listed(world, entry),
             Event::WorkerGone(id) => worker_missing(world, now, id),
             Event::Workers(entries) => workers_listed(world, now, entries),
+            Event::VmsListed(others) => world.listed_vms = Some(others),
             Event::PeerUp(peer) => systems::members::peer_up(world, cx, peer),
             Event::PeerDown(peer) => peer_lost(world, cx, peer),
             Event::Message { from, message } => deliver(world, cx, from, message),
@@ -240,6 +241,7 @@
     systems::entry::run(world, cx);
     systems::entry::give_up_all(world, cx, LossCause::Paused);
     world.settled_at = cx.now + world.policy.settle;
+    world.listed_vms = None;
     world.claimed.clear();
     let held = world.workers.values_mut();
     for row in held.filter(|row| matches!(row.hold, Hold::Held | Hold::Taking)) {
--- a/crates/core/src/guarded/event.rs
+++ b/crates/core/src/guarded/event.rs
@@ -31,6 +31,8 @@
     WorkerGone(WorkerId),
     /// All workers of the registry.
     Workers(Vec<WorkerEntry>),
+    /// The registry lists this many other entry VMs.
+    VmsListed(usize),
     /// A connection to a peer is established.
     PeerUp(Incarnation),
     /// The connection to a peer is lost.
--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -9,6 +9,8 @@
     pub heartbeat: Duration,
     /// Silence after which a peer counts as gone.
     pub peer_silence: Duration,
+    /// Silence after which a peer gets no new jobs.
+    pub peer_doubt: Duration,
     /// Lease that each look and start asks for.
     pub lease: Duration,
     /// Time for which a look waits for an end.
@@ -26,6 +28,8 @@
     pub stop_timeout: Duration,
     /// Time after the start, or after a pause, in which no cell is claimed.
     pub settle: Duration,
+    /// The same, once every other VM that the registry lists was heard.
+    pub settle_heard: Duration,
 }
 
 impl Default for Policy {
@@ -33,6 +37,7 @@
         Self {
             heartbeat: Duration::from_millis(120),
             peer_silence: Duration::from_millis(400),
+            peer_doubt: Duration::from_millis(260),
             lease: Duration::from_millis(800),
             look_wait: Duration::from_millis(250),
             stop_grace: Duration::from_millis(50),
@@ -41,6 +46,7 @@
             client_resend: Duration::from_millis(1_300),
             stop_timeout: Duration::from_millis(5_500),
             settle: Duration::from_millis(600),
+            settle_heard: Duration::from_millis(200),
         }
     }
 }
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -21,6 +21,9 @@
 const MAX_PLACEMENTS: u32 = 4;
 /// Time before the end of a stop from which on no job is taken in.
 const LAST_JOBS: Duration = Duration::from_millis(2_500);
+/// Wait at a runner from which on a job rather waits for a cell that has no holder; about the time
+/// for which a cell has none.
+const LONG_WAIT: Duration = Duration::from_millis(300);
 /// Time for which a job waits for a runner.
 const UNPLACED_LIMIT: Duration = Duration::from_millis(700);
 /// Time after which a client may try again when no runner is known.
@@ -79,9 +82,11 @@
     };
     let job = Arc::clone(&row.job);
     let waited = cx.now.since(row.submitted);
-    let Some(choice) = choose(world, cx, &job) else {
-        // A cell is without a holder only for moments, while it passes to another VM.
-        if waited > UNPLACED_LIMIT.min(job.patience / 2) {
+    let may_wait = waited <= UNPLACED_LIMIT.min(job.patience / 2);
+    let choice = choose(world, cx, &job);
+    let choice = choice.filter(|choice| !(may_wait && is_better_later(world, cx.now, choice)));
+    let Some(choice) = choice else {
+        if !may_wait {
             let answer = Answer::Refused {
                 cause: RefusalCause::NoRunner,
                 retry_after: NO_RUNNER_RETRY,
@@ -119,6 +124,12 @@
     });
 }
 
+/// Tells whether a job had better wait than join the queue of a runner: a cell is without a holder
+/// only for moments, while it passes to another VM.
+fn is_better_later(world: &World, now: Time, choice: &Choice) -> bool {
+    choice.wait > LONG_WAIT && holding::is_any_unheld(world, now)
+}
+
 /// Tries again to place the jobs for which there was no runner.
 pub fn place_waiting(world: &mut World, cx: &mut Cx<'_>) {
     let waiting = world.entries.values().filter(|row| row.runner.is_none());
@@ -167,7 +178,7 @@
     }
     for (&peer, row) in &world.members {
         let age = cx.now.since(row.heard);
-        if !row.is_serving() || age >= world.policy.peer_silence {
+        if !row.is_serving() || age >= world.policy.peer_doubt {
             continue;
         }
         for load in row.heartbeat.iter().flat_map(|beat| &beat.cells) {
@@ -210,24 +221,36 @@
 }
 
 fn job_over(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
-    let handed_back = matches!(
-        answer,
-        Answer::Refused {
-            cause: RefusalCause::Stopping,
-            ..
-        }
-    );
-    let again = world
-        .entries
-        .get(&id)
-        .is_some_and(|row| row.placements < MAX_PLACEMENTS);
-    if handed_back && again {
+    if may_run_elsewhere(world, cx, id, answer) {
         place(world, cx, id);
     } else {
         finish(world, cx, id, answer);
     }
 }
 
+/// Tells whether another runner may serve a job that was refused.
+fn may_run_elsewhere(world: &World, cx: &Cx<'_>, id: ClientJobId, answer: Answer) -> bool {
+    let Answer::Refused { cause, retry_after } = answer else {
+        return false;
+    };
+    let Some(row) = world.entries.get(&id) else {
+        return false;
+    };
+    if row.placements >= MAX_PLACEMENTS {
+        return false;
+    }
+    match cause {
+        RefusalCause::Stopping => true,
+        RefusalCause::Overloaded => {
+            let choice = choose(world, cx, &row.job);
+            choice.is_some_and(|choice| {
+                Some(choice.runner) != row.runner && choice.wait * 2 < retry_after
+            })
+        }
+        RefusalCause::Impossible | RefusalCause::NoRunner => false,
+    }
+}
+
 fn finish(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
     let Some(row) = world.entries.remove(&id) else {
         return;
--- a/crates/core/src/guarded/systems/holding.rs
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -21,7 +21,8 @@
     world.claimed.iter().any(|cell| cell.contains(entry))
 }
 
-/// Returns the load of the cells that this VM holds.
+/// Returns the load of the cells that this VM holds. A worker that is being taken over counts, since
+/// it will be used in a moment.
 pub fn loads(world: &World, now: Time) -> Vec<CellLoad> {
     let waiting_milli = waiting_milli(world);
     let cells = world.claimed.iter().map(|&cell| {
@@ -32,12 +33,15 @@
             waiting_milli,
             mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
         };
-        let rows = world.workers.values().filter(|row| {
-            cell.contains(&row.entry) && row.is_usable(now, world.policy.worker_silence * 2)
-        });
-        for row in rows {
-            load.capacity_milli += row.entry.capacity.cpu_milli;
-            load.free_milli += row.free().cpu_milli;
+        let silence = world.policy.worker_silence * 2;
+        let rows = world.workers.values();
+        for row in rows.filter(|row| cell.contains(&row.entry)) {
+            if row.is_usable(now, silence) {
+                load.capacity_milli += row.entry.capacity.cpu_milli;
+                load.free_milli += row.free().cpu_milli;
+            } else if row.is_coming(now) {
+                load.capacity_milli += row.entry.capacity.cpu_milli;
+            }
         }
         load
     });
@@ -52,7 +56,7 @@
 
 /// Decides the cells of this VM, then takes over and releases workers accordingly.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
-    if cx.now < world.settled_at {
+    if !is_settled(world, cx.now) {
         return;
     }
     let cells = cells(world);
@@ -76,6 +80,26 @@
     take_over(world, cx);
 }
 
+/// Tells whether this VM has been up for long enough to know who holds what.
+fn is_settled(world: &mut World, now: Time) -> bool {
+    if now >= world.settled_at {
+        return true;
+    }
+    let heard = world.members.values().filter(|row| row.heartbeat.is_some());
+    let all_heard = world
+        .listed_vms
+        .is_some_and(|listed| listed > 0 && heard.count() >= listed);
+    let spared = world
+        .policy
+        .settle
+        .saturating_sub(world.policy.settle_heard);
+    if !all_heard || now + spared < world.settled_at {
+        return false;
+    }
+    world.settled_at = now;
+    true
+}
+
 /// Returns all cells that the registry's workers form.
 fn cells(world: &World) -> BTreeSet<Cell> {
     let mut workers: FastMap<DataCentreId, usize> = FastMap::default();
@@ -93,6 +117,17 @@
     cells.collect()
 }
 
+/// Tells whether no VM holds one of the cells.
+pub fn is_any_unheld(world: &World, now: Time) -> bool {
+    let doubt = world.policy.peer_doubt;
+    let is_held = |cell: &Cell| {
+        let mut peers = world.members.values();
+        world.claimed.contains(cell)
+            || peers.any(|row| now.since(row.heard) < doubt && row.holds(cell))
+    };
+    cells(world).iter().any(|cell| !is_held(cell))
+}
+
 /// Returns the VM that should hold a cell: a live holder keeps it, unless it is elsewhere and a VM
 /// of the cell's data centre has been up for a while; of several claims, and without one, the first
 /// in rendezvous order wins.
--- a/crates/core/src/guarded/systems/looks.rs
+++ b/crates/core/src/guarded/systems/looks.rs
@@ -15,7 +15,13 @@
 /// Time after which a worker that another VM took over is tried again.
 const FENCED_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time after which a higher token is tried on a worker that saw one above the first.
-const TOO_LOW_PAUSE: Duration = Duration::from_millis(50);
+const TOO_LOW_PAUSE: Duration = Duration::from_millis(20);
+/// Tries of higher tokens after which these pauses begin to double.
+const TOO_LOW_FREE: u32 = 4;
+/// Steps by which the first of these tokens is higher; each further one by four times as many.
+const TOO_LOW_STEPS: u64 = 50;
+/// Steps by which a token is higher that takes back a worker that was lost.
+const FENCED_STEPS: u64 = 10;
 /// Time after which a hold counts as undisputed.
 const UNDISPUTED: Duration = Duration::from_secs(4);
 /// Doublings of these pauses at most.
@@ -127,23 +133,31 @@
 /// Another VM has taken the worker over. It stops what runs there; what this VM started counts as
 /// there until its lease has lapsed for certain.
 pub fn fenced(world: &mut World, now: Time, id: WorkerId) {
-    world.skip_tokens();
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
     let was_taking = row.hold == Hold::Taking;
     // A token that was too low from the start is raised soon; a worker that was lost is left to the
     // VM that took it. Rivals that can't hear each other leave ever longer pauses.
-    let first = if was_taking {
-        TOO_LOW_PAUSE
+    let (pause, steps) = if was_taking {
+        let doublings = row.fenced.saturating_sub(TOO_LOW_FREE);
+        let quadruplings = 2 * row.fenced.min(MAX_DOUBLINGS);
+        (
+            TOO_LOW_PAUSE * (1 << doublings.min(MAX_DOUBLINGS)),
+            TOO_LOW_STEPS << quadruplings,
+        )
     } else {
-        FENCED_PAUSE
+        (
+            FENCED_PAUSE * (1 << row.fenced.min(MAX_DOUBLINGS)),
+            FENCED_STEPS,
+        )
     };
-    let pause = (first * (1 << row.fenced.min(MAX_DOUBLINGS))).min(LONGEST_PAUSE);
+    let token = row.token;
     row.fenced += 1;
-    row.hold = Hold::Fenced(now + pause);
+    row.hold = Hold::Fenced(now + pause.min(LONGEST_PAUSE));
     row.look = None;
-    tracing::info!(worker = %id, token = row.token.0, was_taking, "a worker saw a higher token");
+    tracing::info!(worker = %id, token = token.0, was_taking, "a worker saw a higher token");
+    world.raise_tokens(token, steps);
 }
 
 /// Another worker answers at the address: the one that was meant is gone with all its runs, and
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -21,6 +21,9 @@
 /// Time in which the excess of the slowness over 1 falls to half without observations.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Time within which a take-over that is tried again counts as about to succeed.
+const SOON: Duration = Duration::from_millis(100);
+
 /// Longest lease that a worker grants, whatever it is asked for.
 const MAX_LEASE: Duration = Duration::from_secs(1);
 
@@ -234,6 +237,16 @@
             && now.since(self.answered) < silence
     }
 
+    /// Tells whether it is being taken over and will be usable in a moment.
+    pub fn is_coming(&self, now: Time) -> bool {
+        let soon = match self.hold {
+            Hold::Taking => self.unanswered == 0,
+            Hold::Fenced(until) => until.since(now) <= SOON,
+            Hold::None | Hold::Held | Hold::Unreached => false,
+        };
+        soon && !self.entry.draining && self.missing_since.is_none()
+    }
+
     /// Tells whether it may get another run: one that failed last is tried with one run at a time.
     pub fn admits_more(&self) -> bool {
         self.health.failures == 0 || self.runs.is_empty()
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -79,6 +79,8 @@
     pub members: BTreeMap<Incarnation, MemberRow>,
     /// No cell is claimed before this time.
     pub settled_at: Time,
+    /// Other VMs that the registry lists; `None` until it was read, and after a pause.
+    pub listed_vms: Option<usize>,
     /// Cells whose workers this VM takes over and uses.
     pub claimed: BTreeSet<Cell>,
     /// Highest fencing token seen.
@@ -120,6 +122,7 @@
             workers: BTreeMap::new(),
             members: BTreeMap::new(),
             settled_at: Time::ZERO + policy.settle,
+            listed_vms: None,
             claimed: BTreeSet::new(),
             token: FencingToken(0),
             entries: FastMap::default(),
@@ -151,9 +154,10 @@
         self.token = self.token.max(FencingToken(token));
     }
 
-    /// Raises the known tokens by more than the time that a token of another VM may be ahead.
-    pub fn skip_tokens(&mut self) {
-        self.token.0 += 50 << TOKEN_VM_BITS;
+    /// Raises the known tokens by some steps above one that was refused: those of other VMs may be
+    /// ahead of the time of day.
+    pub fn raise_tokens(&mut self, refused: FencingToken, steps: u64) {
+        self.saw_token(refused.0.saturating_add(steps << TOKEN_VM_BITS));
     }
 
     pub const fn next_look(&mut self) -> u64 {
--- a/crates/core/tests/guarded/recovery.rs
+++ b/crates/core/tests/guarded/recovery.rs
@@ -22,6 +22,17 @@
     }
 }
 
+/// Lets all VMs lose power at once and start anew after half a second.
+fn restart_all(sim: &mut Sim) {
+    for vm in 0..4 {
+        sim.kill(vm, true);
+    }
+    sim.advance(500);
+    for vm in 0..4 {
+        sim.boot(vm);
+    }
+}
+
 loads! {
     /// Two data centres were cut off from each other, and each believed the other one to be gone.
     /// When they meet again, neither takes the workers that the other one uses.
@@ -41,4 +52,64 @@
             assert!(took <= 920, "{took} ms");
         }
     };
+
+    /// All VMs lose power and start anew: as soon as they have heard each other, each cell has its
+    /// holder.
+    a_cold_start_is_over_soon(TWO_DATA_CENTRES) => |sim| {
+        restart_all(sim);
+        sim.advance(420);
+        assert_eq!(sim.held_workers(), 6);
+    };
+
+    /// The same with fencing tokens that are half a minute ahead of the time of day, as after VMs
+    /// fought over workers.
+    a_cold_start_passes_high_tokens_soon(TWO_DATA_CENTRES) => |sim| {
+        sim.raise_tokens(30_000);
+        restart_all(sim);
+        sim.advance(440);
+        assert_eq!(sim.held_workers(), 6);
+    };
+
+    /// The VM that holds the workers of a data centre falls silent: jobs that come before that is
+    /// certain go elsewhere.
+    a_silent_holder_gets_no_new_jobs(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let entry = 2 - holder;
+        sim.kill(holder, true);
+        sim.advance(300);
+        let ids: Vec<_> = (0..6).map(|_| sim.submit(entry, 2, 100, 0)).collect();
+        sim.advance(2_000);
+        for id in ids {
+            assert_eq!(sim.ledger.jobs[&id].answer, Some(Answer::Completed));
+            assert_eq!(sim.ledger.jobs[&id].attempts, 1);
+        }
+    };
+
+    /// More jobs come meanwhile than the other data centre can serve: they wait for the next holder.
+    jobs_wait_for_the_next_holder(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let entry = 2 - holder;
+        sim.kill(holder, true);
+        sim.advance(300);
+        let ids: Vec<_> = (0..20).map(|_| sim.submit(entry, 2, 400, 0)).collect();
+        sim.advance(3_000);
+        for id in ids {
+            let took = sim.completed_in(id).expect("it completes");
+            assert!(took <= 1_900, "{took} ms");
+        }
+    };
+
+    /// Jobs wait in a data centre that loses most of its workers: those that it can't serve in time
+    /// any more are served by the other one.
+    a_job_refused_here_is_served_elsewhere(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let ids: Vec<_> = (0..12).map(|_| sim.submit(holder, 2, 600, 0)).collect();
+        sim.advance(20);
+        for worker in [0, 2] {
+            sim.crash_worker(worker);
+        }
+        sim.advance(4_000);
+        let refused = ids.iter().filter(|&&id| sim.refused_after(id).is_some()).count();
+        assert_eq!(refused, 0, "refused of {}", ids.len());
+    };
 }
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -173,10 +173,17 @@
 
     /// Returns how often a worker was taken over by the present VMs.
     pub fn takeovers(&self) -> u64 {
+        self.stats().map(|stats| stats.takeovers).sum()
+    }
+
+    /// Returns the number of workers that the present VMs hold.
+    pub fn held_workers(&self) -> u64 {
+        self.stats().map(|stats| stats.held_workers).sum()
+    }
+
+    fn stats(&self) -> impl Iterator<Item = Stats> {
         let dispatchers = self.vms.iter().filter_map(|vm| vm.dispatcher.as_ref());
-        dispatchers
-            .map(|dispatcher| dispatcher.stats().takeovers)
-            .sum()
+        dispatchers.map(Dispatcher::stats)
     }
 
     /// Returns the time from submission to answer of a job, in milliseconds, if it completed.
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -8,14 +8,16 @@
 use crate::ledger::{JobRecord, Ledger, Stand};
 use crate::worker::{Conduct, ModelWorker};
 use cardamomslip_core::guarded::model::answer::Answer;
-use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, TaskId, UpstreamId, WorkerId};
+use cardamomslip_core::guarded::model::ids::{
+    ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
+};
 use cardamomslip_core::guarded::model::job::{Job, Step, Terms};
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use cardamomslip_core::guarded::model::reply::{LookReply, StartReply, StopReply};
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::guarded::model::worker::WorkerEntry;
 use cardamomslip_core::guarded::order::{Look, Order};
-use cardamomslip_core::guarded::{Dispatcher, Event, Member, Policy};
+use cardamomslip_core::guarded::{Dispatcher, Event, Member, Policy, Stats};
 use cardamomslip_core::model::ids::{CallId, DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::time::Time;
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -24,6 +24,8 @@
         self.event(self.now + MS, vm, Event::Workers(entries));
         let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
         self.event(self.now + MS, vm, Event::Queues(table));
+        let listed = self.vms.len() - 1;
+        self.event(self.now + MS, vm, Event::VmsListed(listed));
         for peer in 0..self.vms.len() {
             let wait = self.rng.random_range(20..300) * MS;
             self.push(self.now + wait, Ev::Reconnect(vm, peer));
@@ -114,6 +116,11 @@
         self.push(self.now, Ev::Tick(vm, boot));
     }
 
+    /// Returns the time of day.
+    pub(super) const fn unix_ms(&self) -> u64 {
+        1_790_000_000_000 + self.now / MS
+    }
+
     pub(super) fn vm_time(&self, vm: usize) -> Time {
         let row = &self.vms[vm];
         Time::from_micros(self.now - row.started - row.frozen_total)
@@ -123,7 +130,7 @@
         if self.vms[vm].frozen_since.is_some() {
             return;
         }
-        let (now, unix_ms) = (self.vm_time(vm), 1_790_000_000_000 + self.now / MS);
+        let (now, unix_ms) = (self.vm_time(vm), self.unix_ms());
         if let Some(Event::Submit { call, .. }) = &event {
             self.vms[vm].taken_in.insert(*call);
         }
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -72,6 +72,14 @@
         self.replaced.insert(worker);
     }
 
+    /// Lets all workers have seen fencing tokens that are ahead of the time of day.
+    pub fn raise_tokens(&mut self, ahead_ms: u64) {
+        let step = (self.unix_ms() + ahead_ms) / 100;
+        for worker in &mut self.workers {
+            worker.raise_token(FencingToken(step << 20));
+        }
+    }
+
     pub fn set_conduct(&mut self, worker: usize, conduct: Conduct) {
         self.workers[worker].conduct = conduct;
     }
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -127,6 +127,11 @@
         Some(first.min(lapse).max(now + 1))
     }
 
+    /// Lets the worker have seen a token.
+    pub fn raise_token(&mut self, token: FencingToken) {
+        self.token = self.token.max(token);
+    }
+
     fn sees(&mut self, token: FencingToken) -> bool {
         if token < self.token {
             return false;
