Don't starve late jobs that have begun

They can't be refused as not run either. Change: a late job that has begun is ranked by the latest start with which it ends within its client's patience. Test: a_late_job_that_has_begun_is_not_starved, failed first.

--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -66,6 +66,15 @@
     let left = job.work_left(&world.estimator);
     let slack = job.objective_at.since(now);
     let late = slack < left.mul_f64(IN_TIME_SHARE);
+    if late && job.started {
+        // It must still end while its client waits.
+        let slack = job.deadline.since(now);
+        return Rank {
+            late: false,
+            priority: 0,
+            at: now + slack.saturating_sub(left.mul_f64(ESTIMATE_MARGIN)),
+        };
+    }
     if late {
         return Rank {
             late,
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -92,6 +92,17 @@
         assert!(late * 4 <= refused.len(), "{late} of {} refused late", refused.len());
     };
 
+    /// A long row of short jobs takes all that is free, and a job of which a part has run is late: it
+    /// still ends while its client waits.
+    a_late_job_that_has_begun_is_not_starved(ONE_VM) => |sim| {
+        let late = sim.submit(0, 24, 200, 2);
+        for _ in 0..300 {
+            sim.submit(0, 2, 60, 0);
+            sim.advance(10);
+        }
+        assert_eq!(answer(sim, late), Some(Answer::Completed));
+    };
+
     /// A job that no worker could ever hold is refused without a start.
     an_impossible_job_is_refused(ONE_VM) => |sim| {
         let id = sim.submit_sized(0, 1, 100, 17_000);
