Give everything up before claiming after a standstill

Change: the core compares the times of its own ticks. A gap as long as the silence limit is a pause; after one of 150 ms no cell is claimed for 100 ms, until what peers sent is read.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -17,6 +17,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time between two ticks from which on silent peers are not given up at once.
+const SHORT_GAP: Duration = Duration::from_millis(150);
+/// Time after such a gap in which what peers have sent is read.
+const CATCH_UP: Duration = Duration::from_millis(100);
+
 /// Who and where a dispatcher is.
 #[derive(Clone, Copy, Debug)]
 pub struct Member {
@@ -50,6 +55,7 @@
     pub fn handle(&mut self, now: Time, unix_ms: u64, event: Event, orders: &mut Vec<Order>) {
         let world = &mut self.world;
         let cx = &mut Cx::new(now, unix_ms, orders);
+        notice_gap(world, cx);
         match event {
             Event::Submit { call, job } => systems::entry::submit(world, cx, call, job),
             Event::Abandon(call) => systems::entry::abandon(world, cx, call),
@@ -81,6 +87,7 @@
     pub fn tick(&mut self, now: Time, unix_ms: u64, orders: &mut Vec<Order>) {
         let world = &mut self.world;
         let cx = &mut Cx::new(now, unix_ms, orders);
+        notice_gap(world, cx);
         while let Some(timer) = world.timers.take_due(now) {
             match timer {
                 Timer::Heartbeat => world.heartbeat_due = true,
@@ -228,6 +235,22 @@
     systems::entry::runner_lost(world, cx, peer);
 }
 
+/// Notices that this process stood still while its clock went on, since it ticks at short intervals.
+/// What its peers sent meanwhile is still to be read.
+fn notice_gap(world: &mut World, cx: &mut Cx<'_>) {
+    let last = world.active_at.replace(cx.now);
+    let gap = last.map_or(Duration::ZERO, |last| cx.now.since(last));
+    if gap >= world.policy.peer_silence {
+        paused(world, cx, gap);
+    } else if gap >= SHORT_GAP {
+        tracing::info!(
+            gap_ms = gap.as_millis(),
+            "the process stood still for a moment"
+        );
+        world.caught_up_at = cx.now + CATCH_UP;
+    }
+}
+
 /// This process stood still: others may have taken its work over. Everything is given up, and
 /// workers are taken over anew.
 fn paused(world: &mut World, cx: &mut Cx<'_>, span: Duration) {
--- a/crates/core/src/guarded/systems/holding.rs
+++ b/crates/core/src/guarded/systems/holding.rs
@@ -82,6 +82,9 @@
 
 /// Tells whether this VM has been up for long enough to know who holds what.
 fn is_settled(world: &mut World, now: Time) -> bool {
+    if now < world.caught_up_at {
+        return false;
+    }
     if now >= world.settled_at {
         return true;
     }
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -77,7 +77,11 @@
     pub behind_since: Option<Time>,
     pub workers: BTreeMap<WorkerId, Worker>,
     pub members: BTreeMap<Incarnation, MemberRow>,
-    /// No cell is claimed before this time.
+    /// Time of the last event or tick.
+    pub active_at: Option<Time>,
+    /// No cell is claimed before this time, since this process stood still for a moment.
+    pub caught_up_at: Time,
+    /// No cell is claimed before this time, since this process does not know the others yet.
     pub settled_at: Time,
     /// Other VMs that the registry lists; `None` until it was read, and after a pause.
     pub listed_vms: Option<usize>,
@@ -121,6 +125,8 @@
             behind_since: None,
             workers: BTreeMap::new(),
             members: BTreeMap::new(),
+            active_at: None,
+            caught_up_at: Time::ZERO,
             settled_at: Time::ZERO + policy.settle,
             listed_vms: None,
             claimed: BTreeSet::new(),
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -27,6 +27,7 @@
     Boot(usize),
     Stop(usize),
     Freeze { vm: usize, ms: u64 },
+    Suspend { vm: usize, ms: u64 },
     Cut { a: usize, b: usize, both: bool },
     CutWorker { vm: usize, worker: usize },
     LateOrders(u8),
@@ -55,6 +56,7 @@
         3 => vm.clone().prop_map(Op::Boot),
         1 => vm.clone().prop_map(Op::Stop),
         2 => (vm.clone(), 50_u64..5_000).prop_map(|(vm, ms)| Op::Freeze { vm, ms }),
+        2 => (vm.clone(), 50_u64..5_000).prop_map(|(vm, ms)| Op::Suspend { vm, ms }),
         2 => (vm.clone(), vm.clone(), any::<bool>())
             .prop_map(|(a, b, both)| Op::Cut { a, b, both }),
         2 => (vm.clone(), worker.clone()).prop_map(|(vm, worker)| Op::CutWorker { vm, worker }),
@@ -82,6 +84,7 @@
         }
         Op::Stop(vm) => sim.stop(vm),
         Op::Freeze { vm, ms } => sim.freeze(vm, ms),
+        Op::Suspend { vm, ms } => sim.suspend(vm, ms),
         Op::Cut { a, b, both } => {
             sim.cut(a, b);
             if both {
--- a/crates/core/tests/guarded/recovery.rs
+++ b/crates/core/tests/guarded/recovery.rs
@@ -112,4 +112,31 @@
         let refused = ids.iter().filter(|&&id| sim.refused_after(id).is_some()).count();
         assert_eq!(refused, 0, "refused of {}", ids.len());
     };
+
+    /// A VM stands still for two seconds while its clock goes on, and its peers have been silent
+    /// for as long when it wakes up: it does not take that for their end.
+    a_vm_that_stood_still_takes_nothing_over(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        sim.freeze(holder, 2_000);
+        sim.advance(1_900);
+        let before = sim.takeovers();
+        let ids: Vec<_> = [1, 3].map(|vm| sim.submit(vm, 2, 600, 0)).into();
+        sim.advance(3_000);
+        assert_eq!(sim.takeovers() - before, 0, "take-overs when it woke up");
+        for id in ids {
+            assert_eq!(sim.ledger.jobs[&id].attempts, 1);
+            let took = sim.completed_in(id).expect("it completes");
+            assert!(took <= 620, "{took} ms");
+        }
+    };
+
+    /// The same for a little less time than its peers take to give it up.
+    a_short_standstill_takes_nothing_over(TWO_DATA_CENTRES) => |sim| {
+        for vm in 0..4 {
+            let before = sim.takeovers_of(vm);
+            sim.freeze(vm, 350);
+            sim.advance(1_500);
+            assert_eq!(sim.takeovers_of(vm) - before, 0, "take-overs of VM {vm}");
+        }
+    };
 }
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -176,6 +176,12 @@
         self.stats().map(|stats| stats.takeovers).sum()
     }
 
+    /// Returns how often a VM took a worker over.
+    pub fn takeovers_of(&self, vm: usize) -> u64 {
+        let dispatcher = self.vms[vm].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.stats().takeovers)
+    }
+
     /// Returns the number of workers that the present VMs hold.
     pub fn held_workers(&self) -> u64 {
         self.stats().map(|stats| stats.held_workers).sum()
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -65,6 +65,8 @@
     boot: u32,
     started: u64,
     frozen_since: Option<u64>,
+    /// Whether the clock stands still with the VM.
+    is_suspended: bool,
     frozen_total: u64,
     tick_at: u64,
     /// Jobs of open calls.
@@ -159,6 +161,7 @@
                 boot: 0,
                 started: 0,
                 frozen_since: None,
+                is_suspended: false,
                 frozen_total: 0,
                 tick_at: 0,
                 calls: BTreeMap::new(),
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -67,12 +67,19 @@
         self.vms[vm].dispatcher.is_some()
     }
 
-    /// Suspends a VM. Its monotonic clock stands still meanwhile.
+    /// Suspends a VM: its monotonic clock stands still meanwhile.
+    pub fn suspend(&mut self, vm: usize, ms: u64) {
+        self.freeze(vm, ms);
+        self.vms[vm].is_suspended = true;
+    }
+
+    /// Lets a VM stand still while its clock goes on.
     pub fn freeze(&mut self, vm: usize, ms: u64) {
         if !self.is_up(vm) || self.vms[vm].frozen_since.is_some() {
             return;
         }
         self.vms[vm].frozen_since = Some(self.now);
+        self.vms[vm].is_suspended = false;
         let boot = self.vms[vm].boot;
         self.push(self.now + ms * MS, Ev::Thaw(vm, boot));
         if ms * MS > SILENCE {
@@ -94,8 +101,10 @@
             return;
         };
         let span = self.now - since;
-        self.vms[vm].frozen_total += span;
-        if span >= 300 * MS {
+        if self.vms[vm].is_suspended {
+            self.vms[vm].frozen_total += span;
+        }
+        if self.vms[vm].is_suspended && span >= 300 * MS {
             self.run_vm(vm, Some(Event::Paused(Duration::from_micros(span))));
         }
         if span > SILENCE {
