--- a/crates/cli/src/bin/cardamomslip.rs
+++ b/crates/cli/src/bin/cardamomslip.rs
@@ -10,6 +10,7 @@
 
 Commands:
     check FILE              check a daemon's settings
+    explain ID FILE...      what became of a job, from saved logs of entry VMs
     status                  snapshot of an entry VM
     preset list             presets; * marks the one in force
     preset show [NAME]      a preset, by default the one in force
@@ -30,6 +31,8 @@
 const TOKEN_VARIABLE: &str = "CARDAMOMSLIP_TOKEN";
 /// Environment variable with the daemon's address.
 const SERVER_VARIABLE: &str = "CARDAMOMSLIP_SERVER";
+/// Commands that ask no daemon.
+const OFFLINE: [&str; 2] = ["check", "explain"];
 /// Address of the daemon if none is given.
 const DEFAULT_SERVER: &str = "127.0.0.1:7100";
 
@@ -100,7 +103,7 @@
         .or_else(|| std::env::var(SERVER_VARIABLE).ok());
     let server = server.unwrap_or_else(|| DEFAULT_SERVER.to_owned());
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
-    let token = if words[0] == "check" {
+    let token = if OFFLINE.contains(&words[0]) {
         String::new()
     } else {
         token(matches)?
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,11 +1,15 @@
 //! The operators' commands.
 
 use crate::client::{Answer, Client};
+use crate::explain::{self, Explanation};
 use cardamomslip::Settings;
 use eyre::{Result, WrapErr, bail, eyre};
 use serde_json::{Value, json};
 use std::path::Path;
 
+/// Digits of the id of a job on the users' platform.
+const JOB_ID_DIGITS: usize = 16;
+
 /// How a command ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exit {
@@ -58,6 +62,7 @@
 pub fn run(client: &Client, words: &[&str], opts: &CommandOptions) -> Result<Exit> {
     match words {
         ["check", file] => check(file),
+        ["explain", id, files @ ..] if !files.is_empty() => explain(id, files),
         ["status"] => show(&client.get("/v1/operator/status")?, opts),
         ["preset", "list"] => preset_list(client, opts),
         ["preset", "show"] => preset_show(client, None, opts),
@@ -85,6 +90,20 @@
     }
 }
 
+/// Tells what became of a job, from saved logs.
+fn explain(id: &str, files: &[&str]) -> Result<Exit> {
+    let id = id.to_ascii_lowercase();
+    if id.len() != JOB_ID_DIGITS || !id.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+        bail!("`{id}` is no job id: {JOB_ID_DIGITS} hexadecimal digits");
+    }
+    let Some(explanation) = Explanation::find(&id, &explain::read_logs(files)?) else {
+        eprintln!("no line mentions {id}");
+        return Ok(Exit::Refused);
+    };
+    print!("{explanation}");
+    Ok(Exit::Success)
+}
+
 /// Tells how the answer of a daemon ends the program.
 fn exit_of(answer: &Answer) -> Exit {
     match answer.status {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod client;
 pub mod commands;
 pub mod daemon;
+pub mod explain;
 pub mod logging;
