--- a/crates/core/tests/guarded/recovery.rs
+++ b/crates/core/tests/guarded/recovery.rs
@@ -10,6 +10,13 @@
     workers: 6,
 };
 
+/// Two data centres with six VMs and three workers each.
+const TWELVE_VMS: Shape = Shape {
+    vms: 12,
+    data_centres: 2,
+    workers: 6,
+};
+
 /// Cuts the two data centres off from each other, workers included.
 fn cut_data_centres(sim: &mut Sim) {
     for vm in 0..4 {
@@ -139,4 +146,21 @@
             assert_eq!(sim.takeovers_of(vm) - before, 0, "take-overs of VM {vm}");
         }
     };
+
+    /// The store brings a large configuration to one VM only: the others get it from a peer within a
+    /// second, each about once.
+    a_configuration_spreads_without_the_store(TWELVE_VMS) => |sim| {
+        sim.change_queues_at(&[0]);
+        sim.advance(1_000);
+        assert_eq!(sim.versions(), [2; 12]);
+        assert!(sim.queues_sent <= 22, "sent {} times", sim.queues_sent);
+    };
+
+    /// It brings it to all: none is sent between VMs.
+    a_configuration_from_the_store_is_not_sent_on(TWELVE_VMS) => |sim| {
+        sim.change_queues();
+        sim.advance(1_000);
+        assert_eq!(sim.versions(), [2; 12]);
+        assert_eq!(sim.queues_sent, 0);
+    };
 }
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -152,6 +152,22 @@
         }
     }
 
+    /// The operators put another configuration in force, and the store reaches only some VMs.
+    pub fn change_queues_at(&mut self, vms: &[usize]) {
+        self.version += 1;
+        for &vm in vms {
+            let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
+            self.event(self.now + MS, vm, Event::Queues(table));
+        }
+    }
+
+    /// Returns the version of the configuration of each VM.
+    pub fn versions(&self) -> Vec<u64> {
+        let dispatchers = self.vms.iter().filter_map(|vm| vm.dispatcher.as_ref());
+        let version = |row: &Dispatcher| row.queues().map_or(0, |table| table.version);
+        dispatchers.map(version).collect()
+    }
+
     /// Returns the time from submission to refusal of a job, in milliseconds, if it was refused.
     pub fn refused_after(&self, id: ClientJobId) -> Option<u64> {
         let record = &self.ledger.jobs[&id];
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -12,6 +12,7 @@
     ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
 };
 use cardamomslip_core::guarded::model::job::{Job, Step, Terms};
+use cardamomslip_core::guarded::model::message::Message;
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use cardamomslip_core::guarded::model::reply::{LookReply, StartReply, StopReply};
 use cardamomslip_core::guarded::model::resources::Resources;
@@ -113,6 +114,8 @@
     worker_cut: BTreeSet<(usize, usize)>,
     /// Workers at whose address another one answers.
     replaced: BTreeSet<usize>,
+    /// Configurations that VMs sent to each other.
+    pub queues_sent: u64,
     /// Orders that reached them.
     pub misdirected: u64,
     rng: SmallRng,
@@ -147,6 +150,7 @@
             cut: BTreeSet::new(),
             worker_cut: BTreeSet::new(),
             replaced: BTreeSet::new(),
+            queues_sent: 0,
             misdirected: 0,
             rng,
             next_call: 0,
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -171,6 +171,7 @@
                 }
             }
             Order::Send { to, message } => {
+                self.queues_sent += u64::from(matches!(message, Message::Queues(_)));
                 let Some(peer) = (0..self.vms.len()).find(|&p| self.vms[p].me == to) else {
                     return;
                 };
