--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,10 +5,12 @@
 
 mod hello;
 mod hub;
+mod hub_state;
 mod link;
 mod protocol;
 mod wire;
 
-pub use hub::{ListedPeer, PeerConfig, PeerHub};
+pub use hub::{PeerConfig, PeerHub};
+pub use hub_state::ListedPeer;
 pub use protocol::{PeerMessage, PeerSink};
 pub use wire::{WireError, decode, encode};
--- /dev/null
+++ b/src/peers/wire/demand.rs
@@ -0,0 +1,168 @@
+//! Demands and grants of slots.
+
+use super::codes::{avoid_code, avoid_of};
+use super::{WireError, micros, span};
+use cardamomslip_core::model::ids::{CustomerId, ExecutorId};
+use cardamomslip_core::model::message::{
+    Avoid, Claim, Demand, Grant, Holding, Recall, SPEED_CLASSES, SpeedNeeds,
+};
+use serde::{Deserialize, Serialize};
+
+/// Executor and slots.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct HoldingWire(u64, u16);
+
+impl From<&Holding> for HoldingWire {
+    fn from(holding: &Holding) -> Self {
+        Self(holding.executor.0, holding.slots)
+    }
+}
+
+impl From<HoldingWire> for Holding {
+    fn from(HoldingWire(executor, slots): HoldingWire) -> Self {
+        Self {
+            executor: ExecutorId(executor),
+            slots,
+        }
+    }
+}
+
+/// Customer, rank, running slots, needed slots by speed class, width, and in microseconds: work,
+/// longest task, horizon and time waited.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ClaimWire(u64, u64, u32, [u32; SPEED_CLASSES], u16, u64, u64, u64, u64);
+
+impl From<&Claim> for ClaimWire {
+    fn from(claim: &Claim) -> Self {
+        Self(
+            claim.customer.0,
+            claim.rank,
+            claim.running,
+            claim.needs.0,
+            claim.width,
+            micros(claim.work),
+            micros(claim.longest),
+            micros(claim.horizon),
+            micros(claim.waited),
+        )
+    }
+}
+
+impl From<ClaimWire> for Claim {
+    fn from(wire: ClaimWire) -> Self {
+        let ClaimWire(customer, rank, running, needs, width, work, longest, horizon, waited) = wire;
+        Self {
+            customer: CustomerId(customer),
+            rank,
+            running,
+            needs: SpeedNeeds(needs),
+            width,
+            work: span(work),
+            longest: span(longest),
+            horizon: span(horizon),
+            waited: span(waited),
+        }
+    }
+}
+
+/// Slots and lowest speed in thousandths.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct RecallWire(u32, u32);
+
+impl From<Recall> for RecallWire {
+    fn from(recall: Recall) -> Self {
+        Self(recall.slots, recall.min_speed_milli)
+    }
+}
+
+impl From<RecallWire> for Recall {
+    fn from(RecallWire(slots, min_speed_milli): RecallWire) -> Self {
+        Self {
+            slots,
+            min_speed_milli,
+        }
+    }
+}
+
+/// Sequence, grant sequence, holdings, claims, recall, and avoided executors with their cause.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct DemandWire(
+    u64,
+    u64,
+    Vec<HoldingWire>,
+    Vec<ClaimWire>,
+    RecallWire,
+    Vec<(u64, u8)>,
+);
+
+impl From<&Demand> for DemandWire {
+    fn from(demand: &Demand) -> Self {
+        let avoid = demand
+            .avoid
+            .iter()
+            .map(|row| (row.executor.0, avoid_code(row.cause)));
+        Self(
+            demand.seq,
+            demand.grant_seq,
+            demand.holdings.iter().map(HoldingWire::from).collect(),
+            demand.claims.iter().map(ClaimWire::from).collect(),
+            demand.recall.into(),
+            avoid.collect(),
+        )
+    }
+}
+
+impl TryFrom<DemandWire> for Demand {
+    type Error = WireError;
+
+    fn try_from(wire: DemandWire) -> Result<Self, WireError> {
+        let DemandWire(seq, grant_seq, holdings, claims, recall, avoid) = wire;
+        let avoid: Result<Vec<_>, _> = avoid
+            .into_iter()
+            .map(|(executor, cause)| {
+                Ok(Avoid {
+                    executor: ExecutorId(executor),
+                    cause: avoid_of(cause)?,
+                })
+            })
+            .collect();
+        Ok(Self {
+            seq,
+            grant_seq,
+            holdings: holdings.into_iter().map(Holding::from).collect(),
+            claims: claims.into_iter().map(Claim::from).collect(),
+            recall: recall.into(),
+            avoid: avoid?,
+        })
+    }
+}
+
+/// Sequence, slots, recall, and in microseconds expected wait and patience.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct GrantWire(u64, Vec<HoldingWire>, RecallWire, u64, u64);
+
+impl From<&Grant> for GrantWire {
+    fn from(grant: &Grant) -> Self {
+        let slots = grant.slots.iter().map(HoldingWire::from).collect();
+        Self(
+            grant.seq,
+            slots,
+            grant.recall.into(),
+            micros(grant.expected_wait),
+            micros(grant.patience),
+        )
+    }
+}
+
+impl From<GrantWire> for Grant {
+    fn from(GrantWire(seq, slots, recall, wait, patience): GrantWire) -> Self {
+        let slots = slots.into_iter().map(Holding::from).collect();
+        Self {
+            seq,
+            slots,
+            recall: recall.into(),
+            expected_wait: span(wait),
+            patience: span(patience),
+        }
+    }
+}
--- /dev/null
+++ b/src/peers/wire/job.rs
@@ -0,0 +1,188 @@
+//! Jobs: requests, responses and outcomes.
+
+use super::codes::{failure_code, failure_of, ran_code, ran_of, refusal_code, refusal_of};
+use super::ids::JobIdWire;
+use super::{WireError, micros, span};
+use cardamomslip_core::model::ids::CustomerId;
+use cardamomslip_core::model::job_id::JobId;
+use cardamomslip_core::model::outcome::{Outcome, Ran, Refusal};
+use cardamomslip_core::model::request::{JobRequest, JobVerb, Response};
+use cardamomslip_core::model::spec::{JobSpec, Repeatability, TaskSpec};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Kind, payload, declared run time in microseconds and slots.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TaskWire(Arc<str>, Arc<str>, u64, u16);
+
+/// Tasks, deadline in microseconds and whether tasks may be repeated.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct SpecWire(Vec<TaskWire>, Option<u64>, bool);
+
+impl From<&JobSpec> for SpecWire {
+    fn from(spec: &JobSpec) -> Self {
+        let tasks = spec.tasks.iter().map(|task| {
+            let kind = Arc::clone(&task.kind);
+            TaskWire(
+                kind,
+                Arc::clone(&task.payload),
+                micros(task.declared),
+                task.slots,
+            )
+        });
+        let repeatable = spec.repeatability == Repeatability::Repeatable;
+        Self(tasks.collect(), spec.deadline.map(micros), repeatable)
+    }
+}
+
+impl From<SpecWire> for JobSpec {
+    fn from(SpecWire(tasks, deadline, repeatable): SpecWire) -> Self {
+        let tasks = tasks
+            .into_iter()
+            .map(|TaskWire(kind, payload, declared, slots)| TaskSpec {
+                kind,
+                payload,
+                declared: span(declared),
+                slots,
+            });
+        let repeatability = if repeatable {
+            Repeatability::Repeatable
+        } else {
+            Repeatability::Unrepeatable
+        };
+        Self {
+            tasks: tasks.collect(),
+            deadline: deadline.map(span),
+            repeatability,
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum VerbWire {
+    #[serde(rename = "s")]
+    Submit(SpecWire),
+    #[serde(rename = "f")]
+    Fetch,
+    #[serde(rename = "c")]
+    Cancel,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum OutcomeWire {
+    #[serde(rename = "c")]
+    Complete(Vec<Arc<str>>),
+    #[serde(rename = "f")]
+    Failed(u8, bool),
+}
+
+impl From<&Outcome> for OutcomeWire {
+    fn from(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::Complete(results) => Self::Complete(results.to_vec()),
+            Outcome::Failed { reason, ran } => {
+                Self::Failed(failure_code(*reason), *ran == Ran::NotRun)
+            }
+        }
+    }
+}
+
+impl TryFrom<OutcomeWire> for Outcome {
+    type Error = WireError;
+
+    fn try_from(wire: OutcomeWire) -> Result<Self, WireError> {
+        Ok(match wire {
+            OutcomeWire::Complete(results) => Self::Complete(results.into()),
+            OutcomeWire::Failed(reason, not_run) => {
+                let ran = if not_run {
+                    Ran::NotRun
+                } else {
+                    Ran::MayHaveRun
+                };
+                Self::failed(failure_of(reason)?, ran)
+            }
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum ResponseWire {
+    #[serde(rename = "i")]
+    Ids(Vec<JobIdWire>),
+    #[serde(rename = "r")]
+    Running(JobIdWire, u32, u32),
+    #[serde(rename = "a")]
+    Answer(JobIdWire, OutcomeWire),
+    #[serde(rename = "x")]
+    Refused(u8, u8, Option<u64>),
+}
+
+impl From<&Response> for ResponseWire {
+    fn from(response: &Response) -> Self {
+        match response {
+            Response::Ids(ids) => Self::Ids(ids.iter().map(|&id| id.into()).collect()),
+            Response::Running { id, done, total } => Self::Running((*id).into(), *done, *total),
+            Response::Answer { id, outcome } => Self::Answer((*id).into(), outcome.into()),
+            Response::Refused(refusal) => Self::Refused(
+                refusal_code(refusal.reason),
+                ran_code(refusal.ran),
+                refusal.retry_after.map(micros),
+            ),
+        }
+    }
+}
+
+impl TryFrom<ResponseWire> for Response {
+    type Error = WireError;
+
+    fn try_from(wire: ResponseWire) -> Result<Self, WireError> {
+        Ok(match wire {
+            ResponseWire::Ids(ids) => Self::Ids(ids.into_iter().map(JobId::from).collect()),
+            ResponseWire::Running(id, done, total) => Self::Running {
+                id: id.into(),
+                done,
+                total,
+            },
+            ResponseWire::Answer(id, outcome) => Self::Answer {
+                id: id.into(),
+                outcome: outcome.try_into()?,
+            },
+            ResponseWire::Refused(reason, ran, retry_after) => Self::Refused(Refusal {
+                reason: refusal_of(reason)?,
+                ran: ran_of(ran)?,
+                retry_after: retry_after.map(span),
+            }),
+        })
+    }
+}
+
+/// Job id, customer, wait in microseconds and verb.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RequestWire(JobIdWire, u64, u64, VerbWire);
+
+impl From<&JobRequest> for RequestWire {
+    fn from(req: &JobRequest) -> Self {
+        let verb = match &req.verb {
+            JobVerb::Submit(spec) => VerbWire::Submit(spec.into()),
+            JobVerb::Fetch => VerbWire::Fetch,
+            JobVerb::Cancel => VerbWire::Cancel,
+        };
+        Self(req.id.into(), req.customer.0, micros(req.wait), verb)
+    }
+}
+
+impl From<RequestWire> for JobRequest {
+    fn from(RequestWire(id, customer, wait, verb): RequestWire) -> Self {
+        let verb = match verb {
+            VerbWire::Submit(spec) => JobVerb::Submit(spec.into()),
+            VerbWire::Fetch => JobVerb::Fetch,
+            VerbWire::Cancel => JobVerb::Cancel,
+        };
+        Self {
+            id: id.into(),
+            customer: CustomerId(customer),
+            wait: span(wait),
+            verb,
+        }
+    }
+}
