--- a/src/peers/hub_state.rs
+++ b/src/peers/hub_state.rs
@@ -1,7 +1,8 @@
 //! What the hub knows of its connections, and which ones it makes.
 
-use super::hub::{HubEvent, HubSender, PeerConfig};
-use super::link::{self, Direction, LinkError};
+use super::hub_event::{Direction, HubEvent, HubSender, ListedPeer};
+use super::link::{self, LinkError};
+use super::peer_config::PeerConfig;
 use super::protocol::{PeerMessage, PeerSink};
 use cardamomslip_core::collections::{FastMap, FastSet};
 use cardamomslip_core::model::ids::VmId;
@@ -27,15 +28,6 @@
     heard: Instant,
 }
 
-/// An entry VM and the address at which its peers reach it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ListedPeer {
-    /// The VM.
-    pub vm: VmId,
-    /// Its address for peers.
-    pub address: SocketAddr,
-}
-
 /// A peer to connect to; one without a VM is a seed.
 #[derive(Clone, Copy, Debug)]
 struct Target {
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -1,7 +1,7 @@
 //! One connection to a peer.
 
 use super::hello::{self, Hello};
-use super::hub::{HubEvent, HubSender};
+use super::hub_event::{Direction, HubEvent, HubSender};
 use super::protocol::PeerMessage;
 use cardamomslip_core::model::incarnation::Incarnation;
 use futures_util::{SinkExt, StreamExt};
@@ -62,15 +62,6 @@
     Duplicate,
 }
 
-/// Which side opened a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Direction {
-    /// This side.
-    Outgoing,
-    /// The peer.
-    Incoming,
-}
-
 type Socket = WebSocketStream<TcpStream>;
 
 fn socket_config() -> WebSocketConfig {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,12 +5,15 @@
 
 mod hello;
 mod hub;
+mod hub_event;
 mod hub_state;
 mod link;
+mod peer_config;
 mod protocol;
 mod wire;
 
-pub use hub::{PeerConfig, PeerHub};
-pub use hub_state::ListedPeer;
+pub use hub::PeerHub;
+pub use hub_event::ListedPeer;
+pub use peer_config::PeerConfig;
 pub use protocol::{PeerMessage, PeerSink};
 pub use wire::{WireError, decode, encode};
