Take in what still ends before a stopping VM's end

Change: a job is taken in if three times its estimated time and 300 ms are left. Test: a_stopping_vm_serves_short_jobs, failed first.

--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -8,6 +8,7 @@
 use crate::guarded::model::message::Message;
 use crate::guarded::order::Order;
 use crate::guarded::tables::entry_job::EntryJob;
+use crate::guarded::tables::runner_job::longest_chain;
 use crate::guarded::world::{Cx, Phase, World};
 use crate::model::ids::CallId;
 use crate::model::incarnation::Incarnation;
@@ -19,8 +20,10 @@
 const SPILL_MARGIN: Duration = Duration::from_millis(30);
 /// Placements of a job at most, since runners that stop hand it back.
 const MAX_PLACEMENTS: u32 = 4;
-/// Time before the end of a stop from which on no job is taken in.
-const LAST_JOBS: Duration = Duration::from_millis(2_500);
+/// Factor on the run time that the client estimates within which most jobs end.
+const END_FACTOR: u32 = 3;
+/// Time on top of it.
+const END_SLACK: Duration = Duration::from_millis(300);
 /// Wait at a runner from which on a job rather waits for a cell that has no holder; about the time
 /// for which a cell has none.
 const LONG_WAIT: Duration = Duration::from_millis(300);
@@ -47,7 +50,7 @@
         placements: 0,
     };
     world.entries.insert(id, row);
-    if accepts(world, cx) {
+    if accepts(world, cx, id) {
         place(world, cx, id);
     } else {
         let answer = Answer::Refused {
@@ -58,13 +61,17 @@
     }
 }
 
-/// Tells whether a new job could still end before this VM stops.
-fn accepts(world: &World, cx: &Cx<'_>) -> bool {
-    match world.phase {
-        Phase::Serving => true,
-        Phase::Stopping(since) => cx.now.since(since) + LAST_JOBS < world.policy.stop_timeout,
-        Phase::Closed => false,
-    }
+/// Tells whether a new job will most likely end before this VM stops.
+fn accepts(world: &World, cx: &Cx<'_>, id: ClientJobId) -> bool {
+    let since = match world.phase {
+        Phase::Serving => return true,
+        Phase::Stopping(since) => since,
+        Phase::Closed => return false,
+    };
+    let row = world.entries.get(&id);
+    let work = row.map(|row| longest_chain(&row.job, |estimate| estimate));
+    let needed = work.unwrap_or_default() * END_FACTOR + END_SLACK;
+    cx.now.since(since) + needed < world.policy.stop_timeout
 }
 
 /// Gives up the jobs that are left when this VM ends.
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -156,7 +156,7 @@
 }
 
 /// Returns the longest chain of steps that wait for one another.
-fn longest_chain(job: &Job, time: impl Fn(Duration) -> Duration) -> Duration {
+pub fn longest_chain(job: &Job, time: impl Fn(Duration) -> Duration) -> Duration {
     let ends = chains(job, |_, estimate| time(estimate));
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -248,6 +248,22 @@
         assert_eq!(sim.holder(0), entry);
     };
 
+    /// Clients go on to use their connections to a VM that stops: short jobs are served until shortly
+    /// before its end.
+    a_stopping_vm_serves_short_jobs(TWO_DATA_CENTRES) => |sim| {
+        let vm = sim.holder(0);
+        sim.stop(vm);
+        let mut ids = Vec::new();
+        for _ in 0..90 {
+            ids.push(sim.submit(vm, 2, 60, 0));
+            sim.advance(50);
+        }
+        sim.advance(2_000);
+        for id in ids {
+            assert_eq!(answer(sim, id), Some(Answer::Completed));
+        }
+    };
+
     /// The only other VM stops: jobs that come while its workers pass over wait for a moment.
     jobs_wait_while_a_cell_passes_over(TWO_VMS) => |sim| {
         let holder = sim.holder(0);
