Withdraw jobs from their runners when their entry stood still

An entry VM that stood still for less than the peers' silence answered its clients 502, but its runners went on; the client's next attempt ran elsewhere at the same time. Now the jobs are withdrawn. Case: an_entry_that_stood_still_withdraws_its_jobs. 2. A job that was placed over a connection that its sender still knew went over the one that had replaced it, and its runner took it for wanted. Case: a_job_is_placed_on_the_connection_that_was_known. 3.

--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -74,14 +74,28 @@
     cx.now.since(since) + needed < world.policy.stop_timeout
 }
 
-/// Gives up the jobs that are left when this VM ends.
+/// Gives up the jobs that are left when this VM ends or stood still. Their clients send them again,
+/// so their runners must not go on.
 pub fn give_up_all(world: &mut World, cx: &mut Cx<'_>, cause: LossCause) {
     let jobs: Vec<_> = world.entries.keys().copied().collect();
     for id in jobs {
+        withdraw_from_runner(world, cx, id);
         finish(world, cx, id, Answer::Lost(cause));
     }
 }
 
+/// Tells the runner of a job that nobody here waits for it any more.
+fn withdraw_from_runner(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) {
+    match world.entries.get(&id).and_then(|row| row.runner) {
+        Some(vm) if vm == world.me => runner::withdraw(world, cx, vm, id),
+        Some(vm) => cx.order(Order::Send {
+            to: vm,
+            message: Message::Withdraw { job: id },
+        }),
+        None => {}
+    }
+}
+
 /// Chooses a runner for a job and hands the job to it.
 fn place(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) {
     let Some(row) = world.entries.get(&id) else {
@@ -303,17 +317,9 @@
         return;
     }
     world.stats.abandoned += 1;
-    let runner = row.runner;
     tracing::info!(job = %id, age_ms = cx.now.since(row.submitted).as_millis(), "the client left");
+    withdraw_from_runner(world, cx, id);
     world.entries.remove(&id);
-    match runner {
-        Some(vm) if vm == world.me => runner::withdraw(world, cx, vm, id),
-        Some(vm) => cx.order(Order::Send {
-            to: vm,
-            message: Message::Withdraw { job: id },
-        }),
-        None => {}
-    }
 }
 
 /// Answers the clients of all jobs that ran at a peer that is gone.
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -214,4 +214,34 @@
         Op::Submit { vm: 0, tasks: 1, work_ms: 654 },
         Op::Advance(295),
     ];
+
+    /// The VM that a client called stood still for a moment and gave the job up, but not the VM that
+    /// ran it, which went on while the client sent the job again.
+    an_entry_that_stood_still_withdraws_its_jobs(10188620644619172096) => [
+        Op::Submit { vm: 1, tasks: 1, work_ms: 480 },
+        Op::Advance(304),
+        Op::Submit { vm: 1, tasks: 3, work_ms: 498 },
+        Op::Advance(308),
+        Op::LostAnswers(16),
+        Op::Submit { vm: 0, tasks: 2, work_ms: 75 },
+        Op::Submit { vm: 3, tasks: 3, work_ms: 341 },
+        Op::Submit { vm: 0, tasks: 2, work_ms: 149 },
+        Op::SetConduct { worker: 3, conduct: Conduct::Hangs },
+        Op::Advance(1),
+        Op::Submit { vm: 0, tasks: 3, work_ms: 74 },
+        Op::Submit { vm: 1, tasks: 5, work_ms: 367 },
+        Op::Submit { vm: 0, tasks: 1, work_ms: 20 },
+        Op::Advance(261),
+        Op::Suspend { vm: 1, ms: 300 },
+        Op::Submit { vm: 1, tasks: 1, work_ms: 20 },
+        Op::Heal,
+        Op::Submit { vm: 0, tasks: 2, work_ms: 20 },
+    ];
+
+    /// A job was placed over a connection that had been replaced, so its runner took it for wanted.
+    a_job_is_placed_on_the_connection_that_was_known(3_415_163_210_040_439_211) => [
+        Op::Submit { vm: 2, tasks: 5, work_ms: 551 },
+        Op::Suspend { vm: 2, ms: 3350 },
+        Op::Cut { a: 2, b: 3, both: false },
+    ];
 }
