Send a message only on the connection that its sender knew

The actor decides on what it has heard from the hub; when a connection was replaced meanwhile, its message went over the new one. A job placed that way was lost to its entry, and its runner took it for wanted. Change: the hub numbers connections, the actor keeps the numbers that it heard of, and a message for another number is dropped.

--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -8,6 +8,7 @@
 use cardamomslip_core::guarded::model::message::Message;
 use cardamomslip_core::guarded::{Dispatcher, Event, Order};
 use cardamomslip_core::model::ids::CallId;
+use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::time::Time;
 use stakker::{CX, MaxTimerKey, call, timer_max};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -35,6 +36,8 @@
     metrics: DispatcherMetrics,
     epoch: Instant,
     calls: FastMap<CallId, PendingCall<P::Answerer>>,
+    /// The connections that the dispatcher knows of, which lags behind the hub.
+    links: FastMap<Incarnation, u64>,
     next_call: u64,
     orders: Vec<Order>,
     flush_pending: bool,
@@ -60,6 +63,7 @@
             metrics,
             epoch: cx.now(),
             calls: FastMap::default(),
+            links: FastMap::default(),
             next_call: 0,
             orders: Vec::new(),
             flush_pending: true,
@@ -78,6 +82,10 @@
     pub fn input(&mut self, cx: CX![], input: Input<P::Answerer>) {
         let event = match input {
             Input::Event(event) => event,
+            Input::PeerUp(peer, link) => {
+                self.links.insert(peer, link);
+                Event::PeerUp(peer)
+            }
             Input::Submit(answerer, job) => {
                 let call = CallId(self.next_call);
                 self.next_call += 1;
@@ -94,8 +102,12 @@
     }
 
     fn handle(&mut self, now: Instant, event: Event) {
-        if matches!(event, Event::Stop) {
-            self.ports.begin_stop();
+        match event {
+            Event::Stop => self.ports.begin_stop(),
+            Event::PeerDown(peer) => {
+                self.links.remove(&peer);
+            }
+            _ => {}
         }
         let time = self.time(now);
         self.dispatcher
@@ -157,7 +169,11 @@
                     pending.answerer.close(answer);
                 }
             }
-            Order::Send { to, message } => self.peers.send(to, message),
+            Order::Send { to, message } => {
+                if let Some(&link) = self.links.get(&to) {
+                    self.peers.send_on(to, link, message);
+                }
+            }
             Order::Look(look) => self.ports.workers().look(look),
             Order::Start(start) => self.ports.workers().start(start),
             Order::Stop { worker, run, token } => self.ports.workers().stop(worker, run, token),
--- a/src/guarded/input.rs
+++ b/src/guarded/input.rs
@@ -19,6 +19,8 @@
 pub enum Input<A> {
     /// An event of the core.
     Event(Event),
+    /// A connection to a peer is established under this number.
+    PeerUp(Incarnation, u64),
     /// A caller submits a job.
     Submit(A, Arc<Job>),
 }
@@ -63,8 +65,9 @@
 }
 
 impl<A: Answerer + Send + 'static> PeerSink<Message> for InputSender<A> {
-    fn peer_up(&self, peer: Incarnation) {
-        self.event(Event::PeerUp(peer));
+    fn peer_up(&self, peer: Incarnation, link: u64) {
+        // An actor that has ended needs no peers.
+        let _ = self.0.send(Input::PeerUp(peer, link));
     }
 
     fn peer_down(&self, peer: Incarnation) {
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -75,6 +75,17 @@
     pub fn send(&self, to: Incarnation, message: M) {
         self.tx.send(HubEvent::Send {
             to,
+            link: None,
+            message: Box::new(message),
+        });
+    }
+
+    /// Sends a message on the connection of a number. It is dropped if that one has ended, also if
+    /// another one has replaced it: the node does not know of that one yet.
+    pub fn send_on(&self, to: Incarnation, link: u64, message: M) {
+        self.tx.send(HubEvent::Send {
+            to,
+            link: Some(link),
             message: Box::new(message),
         });
     }
--- a/src/peers/hub_event.rs
+++ b/src/peers/hub_event.rs
@@ -48,8 +48,12 @@
         number: u64,
         message: Box<M>,
     },
-    /// The node sends a message.
-    Send { to: Incarnation, message: Box<M> },
+    /// The node sends a message, on any connection or on the one of a number.
+    Send {
+        to: Incarnation,
+        link: Option<u64>,
+        message: Box<M>,
+    },
     /// A newer list of the peers.
     Listed(Vec<ListedPeer>),
     /// A dial attempt ended.
--- a/src/peers/hub_state.rs
+++ b/src/peers/hub_state.rs
@@ -117,7 +117,7 @@
                     self.node.message(peer, *message);
                 }
             }
-            HubEvent::Send { to, message } => self.send(to, &message),
+            HubEvent::Send { to, link, message } => self.send(to, link, &message),
             HubEvent::Listed(peers) => self.take_list(&peers),
             HubEvent::Dialed(address) => {
                 self.dialing.remove(&address);
@@ -157,11 +157,12 @@
             tracing::info!(%peer, "a second connection is closed");
             return;
         }
+        let number = link.number;
         tracing::info!(%peer, replaces = kept.is_some(), "peer connected");
         if self.links.insert(peer, link).is_some() {
             self.node.peer_down(peer);
         }
-        self.node.peer_up(peer);
+        self.node.peer_up(peer, number);
     }
 
     fn link_down(&mut self, peer: Incarnation, number: u64) {
@@ -172,8 +173,10 @@
         }
     }
 
-    fn send(&mut self, to: Incarnation, message: &M) {
-        let Some(link) = self.links.get(&to) else {
+    fn send(&mut self, to: Incarnation, number: Option<u64>, message: &M) {
+        let meant = |link: &&Link| number.is_none_or(|number| number == link.number);
+        let Some(link) = self.links.get(&to).filter(meant) else {
+            tracing::debug!(peer = %to, number, "a message for a connection that has ended is dropped");
             return;
         };
         // A link whose task ended reports that itself.
--- a/src/peers/protocol.rs
+++ b/src/peers/protocol.rs
@@ -21,8 +21,8 @@
 
 /// Where the hub reports what happens on its connections.
 pub trait PeerSink<M>: Clone + Send + 'static {
-    /// A connection to a peer is established.
-    fn peer_up(&self, peer: Incarnation);
+    /// A connection to a peer is established; its number tells it from others to the same peer.
+    fn peer_up(&self, peer: Incarnation, link: u64);
 
     /// The connection to a peer is lost.
     fn peer_down(&self, peer: Incarnation);
@@ -42,7 +42,7 @@
 }
 
 impl PeerSink<Message> for InputSender {
-    fn peer_up(&self, peer: Incarnation) {
+    fn peer_up(&self, peer: Incarnation, _link: u64) {
         self.event(Event::PeerUp(peer));
     }
 
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -17,16 +17,19 @@
 /// What a node hears of its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Heard {
-    Up(Incarnation),
+    Up(Incarnation, u64),
     Down(Incarnation),
+    Message,
 }
 
 #[derive(Clone, Debug)]
 struct Node(Sender<Heard>);
 
 impl PeerSink<Message> for Node {
-    fn peer_up(&self, peer: Incarnation) {
-        self.0.send(Heard::Up(peer)).expect("the test listens");
+    fn peer_up(&self, peer: Incarnation, link: u64) {
+        self.0
+            .send(Heard::Up(peer, link))
+            .expect("the test listens");
     }
 
     fn peer_down(&self, peer: Incarnation) {
@@ -34,7 +37,9 @@
         let _ = self.0.send(Heard::Down(peer));
     }
 
-    fn message(&self, _: Incarnation, _: Message) {}
+    fn message(&self, _: Incarnation, _: Message) {
+        self.0.send(Heard::Message).expect("the test listens");
+    }
 }
 
 struct Side {
@@ -75,7 +80,7 @@
     let two = side(&runtime, 2);
     one.hub.take_list(vec![listed(&two, 2)]);
     let up = two.heard.recv_timeout(SOON).expect("a connection");
-    assert_eq!(up, Heard::Up(incarnation(1)));
+    assert!(matches!(up, Heard::Up(peer, _) if peer == incarnation(1)));
     let twin = side(&runtime, 1);
     twin.hub.take_list(vec![listed(&two, 2)]);
     let next = two.heard.recv_timeout(Duration::from_millis(500));
@@ -102,7 +107,7 @@
         one.hub.take_list(vec![of_two]);
         for (side, peer) in [(&one, 2), (&two, 1)] {
             let up = side.heard.recv_timeout(SOON).expect("a connection");
-            assert_eq!(up, Heard::Up(incarnation(peer)));
+            assert!(matches!(up, Heard::Up(up, _) if up == incarnation(peer)));
         }
         let settled = Instant::now() + Duration::from_millis(150);
         let rest = |side: &Side| {
@@ -116,10 +121,34 @@
                     .heard
                     .recv_timeout(SOON)
                     .expect("the connection that is kept");
-                assert!(matches!(again, Heard::Up(_)));
+                assert!(matches!(again, Heard::Up(..)));
             }
         }
         one.hub.close();
         two.hub.close();
     }
 }
+
+/// A message is meant for the connection that its sender knew: it does not go over one that has
+/// replaced it.
+#[test]
+fn a_message_keeps_to_its_connection() {
+    let runtime = Runtime::new().expect("a runtime");
+    let one = side(&runtime, 1);
+    let two = side(&runtime, 2);
+    one.hub.take_list(vec![listed(&two, 2)]);
+    let up = one.heard.recv_timeout(SOON).expect("a connection");
+    let Heard::Up(peer, link) = up else {
+        panic!("{up:?}");
+    };
+    let up = two.heard.recv_timeout(SOON).expect("a connection");
+    assert!(matches!(up, Heard::Up(..)));
+    one.hub.send_on(peer, link + 1, Message::Drain);
+    let heard = two.heard.recv_timeout(Duration::from_millis(300));
+    assert_eq!(heard.ok(), None, "a message for another connection");
+    one.hub.send_on(peer, link, Message::Drain);
+    let heard = two.heard.recv_timeout(SOON);
+    assert_eq!(heard, Ok(Heard::Message));
+    one.hub.close();
+    two.hub.close();
+}
