--- a/src/guarded/run.rs
+++ b/src/guarded/run.rs
@@ -16,10 +16,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(250);
 /// Inputs that are taken in before the actor runs.
 const MAX_BATCH: usize = 64;
-/// Pause of this process from which on its beliefs are not to be trusted.
+/// Length of a suspension from which on the beliefs of this process are not to be trusted.
 const PAUSE_LIMIT: Duration = Duration::from_millis(300);
-/// Time by which the loop may wake up late before it counts as a pause.
-const LATE_LIMIT: Duration = Duration::from_millis(500);
 
 /// What the loop runs.
 #[derive(Debug)]
@@ -53,14 +51,13 @@
     s.run(Instant::now(), false);
     while s.not_shutdown() {
         let wait = s.next_wait_max(Instant::now(), MAX_WAIT, false);
-        let planned = Instant::now() + wait;
         let first = tokio::select! {
             biased;
             input = rx.recv() => input,
             () = tokio::time::sleep(wait) => None,
         };
         s.run(Instant::now(), false);
-        if let Some(span) = pauses.check(planned) {
+        if let Some(span) = pauses.check() {
             let event = Input::Event(Event::Paused(span));
             call!([actor], input(event));
         }
@@ -86,7 +83,7 @@
     }
 }
 
-/// Notices that the process stood still: the monotonic clock does not count the time for which a VM
+/// Notices that the VM was suspended: the monotonic clock does not count the time for which a VM
 /// is suspended, the boot clock does.
 #[derive(Debug)]
 struct PauseDetector {
@@ -100,17 +97,13 @@
         }
     }
 
-    /// Returns the length of a pause since the last check. `planned` is the time at which the loop
-    /// wanted to wake up at the latest.
-    fn check(&mut self, planned: Instant) -> Option<Duration> {
+    /// Returns the length of a suspension since the last check. A standstill in which the monotonic
+    /// clock goes on is noticed by the dispatcher itself.
+    fn check(&mut self) -> Option<Duration> {
         let ahead = boot_ahead();
         let suspended = ahead.saturating_sub(self.ahead);
         self.ahead = ahead;
-        let late = Instant::now().saturating_duration_since(planned);
-        if suspended >= PAUSE_LIMIT {
-            return Some(suspended);
-        }
-        (late >= LATE_LIMIT).then_some(late)
+        (suspended >= PAUSE_LIMIT).then_some(suspended)
     }
 }
 
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -2,7 +2,7 @@
 
 use super::hub_event::{HubEvent, HubSender, ListedPeer};
 use super::hub_state::HubState;
-use super::link::{self, LinkConfig};
+use super::link::{self, LinkConfig, LinkError};
 use super::peer_config::PeerConfig;
 use super::protocol::{PeerMessage, PeerSink};
 use crate::error::{Error, ErrorKind};
@@ -114,8 +114,14 @@
     while let Ok((stream, address)) = listener.accept().await {
         let (config, tx) = (config.clone(), tx.clone());
         tokio::spawn(async move {
-            if let Err(e) = link::accept(config, stream, tx).await {
-                tracing::warn!(%address, error = %e, "incoming peer connection failed");
+            match link::accept(config, stream, tx).await {
+                Ok(()) => {}
+                Err(LinkError::Duplicate) => {
+                    tracing::info!(%address, "a second connection of a peer is refused");
+                }
+                Err(e) => {
+                    tracing::warn!(%address, error = %e, "incoming peer connection failed");
+                }
             }
         });
     }
