Read peers' frames through a buffer of 4 KiB

Cause suspected by a profile of 60 daemons (27% memset): the WebSocket library clears its read buffer, 128 KiB by default, at each read, for frames of a few hundred bytes.

--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -25,6 +25,9 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time limit for writing one frame.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Size of the read buffer of a connection, in bytes. Each read clears it, and most frames are a few
+/// hundred bytes long.
+const READ_BUFFER: usize = 4 * 1024;
 /// Maximum number of frames queued for a peer. A peer that falls further behind is disconnected.
 const MAX_QUEUE: usize = 10_000;
 
@@ -66,6 +69,7 @@
 
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
         .max_message_size(Some(MAX_FRAME))
         .max_frame_size(Some(MAX_FRAME))
 }
