--- a/crates/core/src/guarded/action.rs
+++ b/crates/core/src/guarded/action.rs
@@ -4,7 +4,7 @@
 use super::model::ids::{FencingToken, RunId, WorkerId};
 use super::model::message::Message;
 use super::model::queue::QueueTable;
-use crate::model::ids::CallId;
+use crate::model::ids::{CallId, VmId};
 use crate::model::incarnation::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,12 @@
         /// Message to send.
         message: Message,
     },
+    /// Keep connections to exactly these VMs, besides those that other VMs open.
+    Connect(Vec<VmId>),
+    /// Close the connection to a peer.
+    Disconnect(Incarnation),
+    /// Follow the registry of the workers, or stop following it.
+    FollowWorkers(bool),
     /// Poll a worker.
     Poll(Poll),
     /// Start a run on a worker.
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -6,12 +6,14 @@
 use super::model::ids::WorkerId;
 use super::model::message::Message;
 use super::model::queue::QueueTable;
+use super::model::vm::VmEntry;
 use super::model::worker::WorkerEntry;
 use super::policy::Policy;
 use super::stats::Stats;
 use super::systems;
-use super::tables::worker::{Hold, Worker};
+use super::tables::worker::Hold;
 use super::world::{Cx, Phase, Timer, World};
+use crate::collections::FastSet;
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use std::sync::Arc;
@@ -66,9 +68,10 @@
             Event::Worker(entry) => add_or_update_worker(world, entry),
             Event::WorkerGone(id) => mark_worker_missing(world, now, id),
             Event::WorkersListed(entries) => handle_worker_list(world, now, entries),
-            Event::VmsListed(others) => world.listed_vms = Some(others),
+            Event::VmsListed(entries) => handle_vm_list(world, &entries),
+            Event::VmRefused(vm) => systems::peers::handle_refusal(world, vm),
             Event::PeerUp(peer) => systems::peers::add_peer(world, cx, peer),
-            Event::PeerDown(peer) => handle_peer_down(world, cx, peer),
+            Event::PeerDown(peer) => systems::peers::handle_disconnect(world, cx, peer),
             Event::Message { from, message } => handle_message(world, cx, from, message),
             Event::Polled {
                 worker,
@@ -93,30 +96,27 @@
         detect_stall(world, cx);
         while let Some(timer) = world.timers.pop_due(now) {
             match timer {
-                Timer::Heartbeat => world.heartbeat_due = true,
+                Timer::Heartbeat => {
+                    systems::peers::begin_round(world, cx);
+                    let next = now + world.policy.heartbeat_interval;
+                    world.timers.schedule(next, Timer::Heartbeat);
+                }
                 Timer::Sweep => {
-                    systems::sweep::run(world, cx);
-                    systems::peers::request_configuration(world, cx);
-                    world
-                        .timers
-                        .schedule(now + systems::sweep::INTERVAL, Timer::Sweep);
-                    systems::cell_assignment::run(world, cx);
-                    systems::entry::retry_unplaced(world, cx);
+                    sweep(world, cx);
+                    let next = now + systems::sweep::interval(world);
+                    world.timers.schedule(next, Timer::Sweep);
                 }
             }
-            if timer == Timer::Heartbeat {
-                let next = now + world.policy.heartbeat_interval;
-                world.timers.schedule(next, Timer::Heartbeat);
-            }
+        }
+        if world.topology.is_outdated {
+            systems::topology::run(world, cx);
         }
         systems::progress::run(world, cx);
         systems::dispatch::run(world, cx);
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
-        if std::mem::take(&mut world.heartbeat_due) {
-            systems::peers::send_heartbeats(world, cx);
-        }
+        systems::peers::broadcast_if_due(world, cx);
         close_if_done(world, cx);
     }
 
@@ -151,7 +151,17 @@
         let world = &self.world;
         let held = world.workers.values().filter(|row| row.hold == Hold::Held);
         let waiting = world.jobs.values().map(|job| job.due_tasks().count());
+        let linked = world.peers.values().filter(|row| row.linked);
+        let remote_ages = world.remote_holders.values().map(|row| row.known_at);
         Stats {
+            linked_peers: linked.count() as u64,
+            relays: world.topology.relays.len() as u64,
+            held_cells: world.claimed_cells.len() as u64,
+            registered_workers: world.registry.len() as u64,
+            worker_rows: world.workers.len() as u64,
+            oldest_remote_load: remote_ages.min().map_or(Duration::ZERO, |known_at| {
+                world.last_active_at.unwrap_or_default().since(known_at)
+            }),
             held_workers: held.count() as u64,
             waiting_tasks: waiting.sum::<usize>() as u64,
             running: world
@@ -176,42 +186,64 @@
         "configuration adopted"
     );
     world.queues = Some(Arc::clone(&table));
+    // Peers that can't reach the store learn of the version by the next heartbeat.
+    world.heartbeat_due = true;
     cx.emit(Action::AdoptQueues(table));
 }
 
+/// Runs the periodic checks.
+fn sweep(world: &mut World, cx: &mut Cx<'_>) {
+    systems::peers::remove_silent(world, cx);
+    systems::peers::remove_outdated_holders(world, cx.now);
+    systems::peers::request_configuration(world, cx);
+    systems::topology::run(world, cx);
+    systems::sweep::run(world, cx);
+    systems::cell_assignment::run(world, cx);
+    systems::placement::retry_unplaced(world, cx);
+}
+
 fn add_or_update_worker(world: &mut World, entry: WorkerEntry) {
-    match world.workers.get_mut(&entry.id) {
-        Some(row) => {
-            if row.entry.draining != entry.draining {
-                tracing::info!(worker = %entry.id, draining = entry.draining, "worker changed");
-            }
-            row.entry = entry;
-            row.missing_since = None;
-        }
-        None => {
-            world.workers.insert(entry.id, Worker::new(entry));
+    // An entry that arrives after this VM has stopped following the registry is out of date.
+    if !world.topology.follows_workers {
+        return;
+    }
+    let id = entry.id;
+    world.registry.insert(entry.clone());
+    if let Some(row) = world.workers.get_mut(&id) {
+        if row.entry.draining != entry.draining {
+            tracing::info!(worker = %id, draining = entry.draining, "worker changed");
         }
+        row.entry = entry;
+        row.missing_since = None;
+    } else if systems::cell_assignment::is_claimed(world, &entry) {
+        systems::holds::add_row(world, id);
     }
 }
 
 fn mark_worker_missing(world: &mut World, now: Time, id: WorkerId) {
+    world.registry.mark_missing(id, now);
     if let Some(row) = world.workers.get_mut(&id) {
         row.missing_since.get_or_insert(now);
     }
 }
 
 fn handle_worker_list(world: &mut World, now: Time, entries: Vec<WorkerEntry>) {
-    let known: Vec<WorkerId> = world.workers.keys().copied().collect();
-    for id in known {
-        if entries.iter().all(|entry| entry.id != id) {
-            mark_worker_missing(world, now, id);
-        }
+    let listed: FastSet<WorkerId> = entries.iter().map(|entry| entry.id).collect();
+    for id in world.registry.absent_from(&listed) {
+        mark_worker_missing(world, now, id);
     }
     for entry in entries {
         add_or_update_worker(world, entry);
     }
 }
 
+fn handle_vm_list(world: &mut World, entries: &[VmEntry]) {
+    let me = world.me.vm;
+    let others = entries.iter().filter(|entry| entry.vm != me);
+    world.directory.replace(others.copied());
+    world.topology.is_outdated = true;
+}
+
 fn handle_message(world: &mut World, cx: &mut Cx<'_>, from: Incarnation, message: Message) {
     let Some(row) = world.peers.get_mut(&from) else {
         return;
@@ -233,12 +265,6 @@
     }
 }
 
-fn handle_peer_down(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
-    systems::peers::remove_peer(world, peer);
-    systems::runner::handle_origin_loss(world, cx, peer);
-    systems::entry::handle_runner_loss(world, cx, peer);
-}
-
 /// Detects from the gap since the last call, which is short otherwise, that this process was
 /// stalled while its clock continued. Messages that peers sent meanwhile are still unread.
 fn detect_stall(world: &mut World, cx: &mut Cx<'_>) {
@@ -265,7 +291,9 @@
     systems::entry::run(world, cx);
     systems::entry::drop_all_jobs(world, cx, LossCause::Paused);
     world.claims_allowed_at = cx.now + world.policy.claim_delay;
-    world.listed_vms = None;
+    world.may_claim_early = false;
+    world.claims_paused_until = cx.now + CATCH_UP_TIME;
+    world.directory.expect_all();
     world.claimed_cells.clear();
     let held = world.workers.values_mut();
     for row in held.filter(|row| matches!(row.hold, Hold::Held | Hold::Acquiring)) {
--- a/crates/core/src/guarded/event.rs
+++ b/crates/core/src/guarded/event.rs
@@ -5,8 +5,9 @@
 use super::model::message::Message;
 use super::model::queue::QueueTable;
 use super::model::reply::{PollReply, StartReply, StopReply};
+use super::model::vm::VmEntry;
 use super::model::worker::WorkerEntry;
-use crate::model::ids::CallId;
+use crate::model::ids::{CallId, VmId};
 use crate::model::incarnation::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,8 +32,10 @@
     WorkerGone(WorkerId),
     /// Full list of the workers in the registry.
     WorkersListed(Vec<WorkerEntry>),
-    /// Number of other entry VMs in the registry.
-    VmsListed(usize),
+    /// Full list of the entry VMs in the registry, with or without this one.
+    VmsListed(Vec<VmEntry>),
+    /// A VM refused a connection: its process is not running.
+    VmRefused(VmId),
     /// A peer connected.
     PeerUp(Incarnation),
     /// A peer disconnected.
--- a/crates/core/src/guarded/model/cell.rs
+++ b/crates/core/src/guarded/model/cell.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Maximum mean number of workers per cell.
-pub const MAX_CELL_WORKERS: usize = 24;
+pub const MAX_CELL_WORKERS: usize = 32;
 
 /// A group of workers of one data centre. The workers of a data centre are split by a hash of their
 /// ids into a number of cells that is a power of two.
@@ -51,14 +51,48 @@
     pub mean_run: Duration,
 }
 
-impl CellLoad {
-    /// Estimates how long a new task waits for its start in the cell.
+/// Load of all workers of one holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HolderLoad {
+    /// CPU of the usable workers, in thousandths of a core.
+    pub capacity_milli: u64,
+    /// CPU of the usable workers that no run occupies, in thousandths of a core.
+    pub free_milli: u64,
+    /// CPU that the holder's waiting tasks need, in thousandths of a core.
+    pub waiting_milli: u64,
+    /// Mean run time of the holder's runs.
+    pub mean_run: Duration,
+}
+
+impl HolderLoad {
+    /// Adds up the loads of a holder's cells. Its waiting tasks may run in any of them.
+    #[must_use]
+    pub fn of_cells(cells: &[CellLoad]) -> Self {
+        cells.iter().fold(Self::default(), |sum, cell| Self {
+            capacity_milli: sum.capacity_milli + cell.capacity_milli,
+            free_milli: sum.free_milli + cell.free_milli,
+            waiting_milli: sum.waiting_milli.max(cell.waiting_milli),
+            mean_run: sum.mean_run.max(cell.mean_run),
+        })
+    }
+
+    /// Returns the CPU that tasks needing `ahead_milli` on top of the waiting ones leave free, in
+    /// thousandths of a core.
+    #[must_use]
+    pub const fn spare_milli(&self, ahead_milli: u64) -> u64 {
+        self.free_milli
+            .saturating_sub(self.waiting_milli.saturating_add(ahead_milli))
+    }
+
+    /// Estimates how long a task waits for its start, behind other tasks that need `ahead_milli`
+    /// thousandths of a core on top of the waiting ones.
     #[must_use]
-    pub fn expected_wait(&self) -> Duration {
+    pub fn wait_behind(&self, ahead_milli: u64) -> Duration {
         if self.capacity_milli == 0 {
             return Duration::MAX;
         }
-        let ahead = self.waiting_milli.saturating_sub(self.free_milli);
+        let ahead = self.waiting_milli.saturating_add(ahead_milli);
+        let ahead = ahead.saturating_sub(self.free_milli);
         #[allow(clippy::cast_precision_loss, reason = "an estimate")]
         let share = ahead as f64 / self.capacity_milli as f64;
         self.mean_run.mul_f64(share)
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -1,10 +1,11 @@
 //! Messages between entry VMs.
 
 use super::answer::Answer;
-use super::cell::CellLoad;
+use super::cell::{CellLoad, HolderLoad};
 use super::ids::{ClientJobId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
+use crate::model::incarnation::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,4 +57,24 @@
     pub cells: Vec<CellLoad>,
     /// Workers that it still holds although it no longer claims their cells.
     pub still_held: Vec<WorkerId>,
+    /// Time within which the sender sends its next heartbeat to this receiver, unless a job
+    /// connects the two; then heartbeats follow at the shortest interval.
+    pub next_within: Duration,
+    /// Whether the sender is one of the relays of its data centre.
+    pub is_relay: bool,
+    /// Whether the sender needs the connection to the receiver.
+    pub wants_link: bool,
+    /// Holders in other data centres, for a receiver that has no connection to them.
+    pub remote_holders: Vec<RemoteHolder>,
+}
+
+/// A holder in another data centre, as a relay knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RemoteHolder {
+    /// The holder.
+    pub holder: Incarnation,
+    /// Its load.
+    pub load: HolderLoad,
+    /// Time since the relay received the load.
+    pub age: Duration,
 }
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -8,4 +8,5 @@
 pub mod queue;
 pub mod reply;
 pub mod resources;
+pub mod vm;
 pub mod worker;
--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -52,6 +52,9 @@
     }
 }
 
+/// Interval at which a VM that runs jobs checks for silent peers.
+pub const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Largest factor by which a worker's steady clock may run slower than this VM's.
 pub const CLOCK_SLACK: f64 = 1.02;
 
@@ -60,6 +63,7 @@
     /// lost just before it would have stopped the run.
     #[must_use]
     pub fn max_orphan_duration(&self) -> Duration {
-        self.peer_timeout + self.lease.mul_f64(CLOCK_SLACK) + self.stop_grace
+        let detection = self.peer_timeout + PEER_CHECK_INTERVAL;
+        detection + self.lease.mul_f64(CLOCK_SLACK) + self.stop_grace
     }
 }
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -1,5 +1,7 @@
 //! Counters and gauges of one dispatcher.
 
+use std::time::Duration;
+
 /// Counters since the start of the process, and gauges of the current state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -33,6 +35,18 @@
     pub expired_leases: u64,
     /// Ejections of workers for failures.
     pub ejections: u64,
+    /// Peers that are currently connected.
+    pub linked_peers: u64,
+    /// Relays of this data centre, as this VM knows them.
+    pub relays: u64,
+    /// Cells that this VM currently claims.
+    pub held_cells: u64,
+    /// Workers in the registry; 0 if this VM does not follow it.
+    pub registered_workers: u64,
+    /// Workers of which this VM keeps the state of its hold; ticks visit these only.
+    pub worker_rows: u64,
+    /// Age of the oldest load of a holder in another data centre that relays reported.
+    pub oldest_remote_load: Duration,
     /// Workers currently held.
     pub held_workers: u64,
     /// Tasks currently waiting.
--- a/crates/core/src/guarded/systems/cell_assignment.rs
+++ b/crates/core/src/guarded/systems/cell_assignment.rs
@@ -1,15 +1,19 @@
-//! Assignment of cells to VMs, and the acquisition and release of their workers.
+//! Assignment of cells to VMs.
+//!
+//! The cells of a data centre go to its relays. Those of a data centre whose VMs are all gone go to
+//! the relays of the others.
 
+use super::{holds, topology};
 use crate::collections::FastMap;
-use crate::guarded::model::cell::{Cell, CellLoad};
-use crate::guarded::model::ids::WorkerId;
+use crate::guarded::model::cell::{Cell, CellLoad, HolderLoad};
+use crate::guarded::model::vm::mix;
 use crate::guarded::model::worker::WorkerEntry;
+use crate::guarded::tables::peer::Peer;
 use crate::guarded::tables::runner_job::RunnerJob;
-use crate::guarded::tables::worker::{Hold, Worker};
-use crate::guarded::world::{Cx, Phase, World};
-use crate::model::ids::DataCentreId;
+use crate::guarded::world::{Cx, World};
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -48,6 +52,12 @@
     cells.collect()
 }
 
+/// Returns the load of all workers that this VM holds; `None` if it claims no cell.
+pub fn own_load(world: &World, now: Time) -> Option<HolderLoad> {
+    let cells = cell_loads(world, now);
+    (!cells.is_empty()).then(|| HolderLoad::of_cells(&cells))
+}
+
 /// Returns the CPU that waiting tasks need, in thousandths of a core.
 pub fn waiting_milli(world: &World) -> u64 {
     let jobs = world.jobs.values();
@@ -59,29 +69,26 @@
     if !may_change_claims(world, cx.now) {
         return;
     }
-    let cells = all_cells(world);
-    let mine: BTreeSet<Cell> = cells
-        .into_iter()
-        .filter(|cell| choose_holder(world, cx.now, cell) == Some(world.me))
-        .collect();
+    let mine = choose_own_cells(world, cx.now);
     if mine != world.claimed_cells {
         tracing::info!(
             cells = mine.len(),
             before = world.claimed_cells.len(),
             peers = world.peers.len(),
+            relays = world.topology.relays.len(),
             leaving = !world.is_serving(),
             "the cells of this VM have changed"
         );
         world.claimed_cells = mine;
         world.heartbeat_due = true;
+        world.topology.is_outdated = true;
+        holds::add_rows(world);
     }
-    release_idle_workers(world);
-    stop_unneeded_probes(world);
-    acquire_workers(world, cx);
+    holds::run(world, cx);
 }
 
 /// Returns whether this VM has been up for long enough to know the present holders. The delay ends
-/// early once every listed VM has sent a heartbeat.
+/// early once every VM that this VM connects to has sent a heartbeat.
 fn may_change_claims(world: &mut World, now: Time) -> bool {
     if now < world.claims_paused_until {
         return false;
@@ -89,10 +96,7 @@
     if now >= world.claims_allowed_at {
         return true;
     }
-    let known = world.peers.values().filter(|row| row.heartbeat.is_some());
-    let all_known = world
-        .listed_vms
-        .is_some_and(|listed| listed > 0 && known.count() >= listed);
+    let all_known = world.may_claim_early && are_peers_known(world, now);
     let reduction = world
         .policy
         .claim_delay
@@ -104,53 +108,136 @@
     true
 }
 
-/// Returns the cells of all workers in the registry.
-fn all_cells(world: &World) -> BTreeSet<Cell> {
-    let mut workers: FastMap<DataCentreId, usize> = FastMap::default();
-    for row in world.workers.values() {
-        *workers.entry(row.entry.data_centre).or_default() += 1;
-    }
-    let cells = workers.into_iter().flat_map(|(data_centre, count)| {
-        let cell_count = Cell::count(count);
-        (0..cell_count).map(move |index| Cell {
-            data_centre,
-            cell_count,
-            index,
+/// Returns whether every VM that this VM connects to has sent a heartbeat or is known to be gone.
+/// Without any VM to connect to, the registry may be incomplete.
+fn are_peers_known(world: &World, now: Time) -> bool {
+    let wanted = &world.topology.wanted;
+    let is_known = |row: &Peer| row.heartbeat.is_some();
+    !wanted.is_empty()
+        && world.directory.iter().all(|entry| {
+            let row = world.peer_of_vm(entry.data_centre, entry.vm);
+            !world.topology.wants(entry.vm)
+                || row.is_some_and(is_known)
+                || row.is_none() && !world.directory.is_expected(entry.vm, now)
         })
-    });
-    cells.collect()
 }
 
-/// Returns whether some cell is claimed neither by this VM nor by a peer that sent a message
-/// recently.
+/// Returns whether some cell of this data centre, or of any if this VM is a relay, is claimed
+/// neither by this VM nor by a peer that sent a message recently.
 pub fn has_unheld_cell(world: &World, now: Time) -> bool {
-    let suspect_after = world.policy.peer_suspect_after;
-    let is_held = |cell: &Cell| {
+    let policy = &world.policy;
+    let is_held = |cell: Cell| {
         let mut peers = world.peers.values();
-        world.claimed_cells.contains(cell)
-            || peers.any(|row| now.since(row.last_message_at) < suspect_after && row.claims(cell))
+        world.claimed_cells.contains(&cell)
+            || peers.any(|row| !row.is_suspect(now, policy) && row.claims(&cell))
     };
-    all_cells(world).iter().any(|cell| !is_held(cell))
+    let local = world.me.data_centre;
+    let cell_count = topology::local_cell_count(world);
+    let mut local_cells = (0..cell_count).map(|index| Cell {
+        data_centre: local,
+        cell_count,
+        index,
+    });
+    let mut others = world
+        .registry
+        .data_centres()
+        .filter(|&other| other != local);
+    cell_count == 0
+        || local_cells.any(|cell| !is_held(cell))
+        || world.topology.is_relay
+            && others.any(|other| world.registry.cells(other).any(|cell| !is_held(cell)))
 }
 
-/// Returns the VM that should hold a cell.
+/// A VM that may hold a cell.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    id: Incarnation,
+    weight: u32,
+    /// Time for which this VM has known it to be serving.
+    uptime: Duration,
+    is_relay: bool,
+}
+
+/// Returns the cells that this VM should claim.
 ///
-/// A serving holder keeps its cell, unless it is in another data centre and a VM of the cell's data
-/// centre has been up for a while. If several VMs claim the cell or none does, the highest
-/// rendezvous score wins.
-fn choose_holder(world: &World, now: Time, cell: &Cell) -> Option<Incarnation> {
-    let serving: Vec<Candidate> = candidates(world, now).collect();
+/// A serving holder keeps its cell, unless it is in another data centre and a relay of the cell's
+/// data centre has been up for a while, or it is far smaller than other VMs of the data centre. If
+/// several VMs claim a cell, the highest rendezvous score wins. A cell that no VM claims goes to
+/// the relay with the fewest cells for its size.
+fn choose_own_cells(world: &World, now: Time) -> BTreeSet<Cell> {
+    if !world.is_serving() || !world.topology.is_relay {
+        return BTreeSet::new();
+    }
+    let candidates = candidates(world, now);
+    let mut counts = count_claims(world, &candidates);
+    let mut mine = BTreeSet::new();
+    for data_centre in world.registry.data_centres().collect::<BTreeSet<_>>() {
+        for cell in world.registry.cells(data_centre) {
+            let holder = if data_centre == world.me.data_centre {
+                choose_local_holder(world, &candidates, &mut counts, &cell)
+            } else {
+                choose_remote_holder(world, now, &candidates, &mut counts, &cell)
+            };
+            if holder == Some(world.me) {
+                mine.insert(cell);
+            }
+        }
+    }
+    mine
+}
+
+/// Returns the VM that should hold a cell of this data centre.
+fn choose_local_holder(
+    world: &World,
+    candidates: &[Candidate],
+    counts: &mut FastMap<Incarnation, u32>,
+    cell: &Cell,
+) -> Option<Incarnation> {
     let is_local = |vm: &&Candidate| vm.id.data_centre == cell.data_centre;
-    let claims = |vm: &&Candidate| claims_cell(world, vm.id, cell);
-    let local = || serving.iter().filter(is_local);
-    let established = || local().filter(|vm| vm.uptime >= MIN_UPTIME_TO_RECLAIM);
-    highest_scored(cell, local().filter(claims))
+    let local = || candidates.iter().filter(is_local);
+    let largest = local().map(|vm| vm.weight).max().unwrap_or(0);
+    let keeps = |vm: &&Candidate| vm.weight * 2 >= largest && claims_cell(world, vm.id, cell);
+    let relays = || local().filter(|vm| vm.is_relay);
+    let is_established = relays().any(|vm| vm.uptime >= MIN_UPTIME_TO_RECLAIM);
+    highest_scored(cell, local().filter(keeps))
         .or_else(|| {
-            let elsewhere = highest_scored(cell, serving.iter().filter(claims))?;
-            highest_scored(cell, established()).or(Some(elsewhere))
+            let elsewhere = candidates.iter().filter(|vm| !is_local(vm));
+            let elsewhere = elsewhere.filter(|vm| claims_cell(world, vm.id, cell));
+            highest_scored(cell, elsewhere).filter(|_| !is_established)
         })
-        .or_else(|| highest_scored(cell, local()))
-        .or_else(|| highest_scored(cell, serving.iter()))
+        .or_else(|| least_loaded(cell, relays(), counts))
+}
+
+/// Returns the VM that should hold a cell of another data centre; `None` if that is decided there.
+fn choose_remote_holder(
+    world: &World,
+    now: Time,
+    candidates: &[Candidate],
+    counts: &mut FastMap<Incarnation, u32>,
+    cell: &Cell,
+) -> Option<Incarnation> {
+    let claims = |vm: &&Candidate| claims_cell(world, vm.id, cell);
+    let local = || {
+        let vms = candidates.iter();
+        vms.filter(|vm| vm.id.data_centre == cell.data_centre)
+    };
+    let is_decided_there =
+        local().any(|vm| vm.uptime >= MIN_UPTIME_TO_RECLAIM) || local().any(|vm| claims(&vm));
+    if is_decided_there {
+        return None;
+    }
+    highest_scored(cell, candidates.iter().filter(claims)).or_else(|| {
+        if topology::may_have_vms(world, now, cell.data_centre) {
+            return None;
+        }
+        let relays = candidates.iter().filter(|vm| vm.is_relay);
+        let with_room = relays.filter(|vm| {
+            let count = counts.get(&vm.id).copied().unwrap_or_default();
+            count < topology::max_cells(vm.weight)
+        });
+        let with_room: Vec<&Candidate> = with_room.collect();
+        least_loaded(cell, with_room.into_iter(), counts)
+    })
 }
 
 fn claims_cell(world: &World, vm: Incarnation, cell: &Cell) -> bool {
@@ -161,134 +248,97 @@
     }
 }
 
-/// A VM that may hold a cell.
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    id: Incarnation,
-    weight: u32,
-    /// Time for which this VM has known it to be serving.
-    uptime: Duration,
-}
-
-/// Iterates over the VMs that accept work, this one included.
-fn candidates(world: &World, now: Time) -> impl Iterator<Item = Candidate> {
+/// Returns the VMs that accept work, this one included.
+fn candidates(world: &World, now: Time) -> Vec<Candidate> {
     let me = Candidate {
         id: world.me,
         weight: world.weight,
         uptime: now.since(world.claims_allowed_at),
+        is_relay: world.topology.relays.contains(&world.me.vm),
     };
-    let me = world.is_serving().then_some(me).into_iter();
-    let timeout = world.policy.peer_timeout;
-    let peers = world
-        .peers
-        .iter()
-        .filter(move |(_, row)| now.since(row.last_message_at) < timeout && row.is_serving());
-    me.chain(peers.map(move |(&id, row)| Candidate {
+    let peers = world.peers.iter();
+    let peers = peers.filter(|(_, row)| row.is_serving() && !row.is_gone(now, &world.policy));
+    let peers = peers.map(|(&id, row)| Candidate {
         id,
         weight: row.weight(),
         uptime: now.since(row.connected_at),
-    }))
-}
-
-fn highest_scored<'a>(
-    cell: &Cell,
-    vms: impl Iterator<Item = &'a Candidate>,
-) -> Option<Incarnation> {
-    vms.map(|vm| (rendezvous_score(cell, vm.id, vm.weight), vm.id))
-        .max_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, vm)| vm)
+        is_relay: is_relay(world, id),
+    });
+    std::iter::once(me).chain(peers).collect()
 }
 
-/// Scores a VM for a cell by weighted rendezvous hashing.
-fn rendezvous_score(cell: &Cell, vm: Incarnation, weight: u32) -> f64 {
-    let cell_key = (u64::from(cell.cell_count) << 32 | u64::from(cell.index)) ^ cell.data_centre.0;
-    let hash = mix(mix(cell_key) ^ mix(vm.vm.0) ^ mix(vm.nonce));
-    #[allow(clippy::cast_precision_loss, reason = "a hash as a fraction")]
-    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    -f64::from(weight) / unit.ln()
+/// Returns whether a peer is a relay: in this data centre by its rank, elsewhere as it says.
+fn is_relay(world: &World, peer: Incarnation) -> bool {
+    if peer.data_centre == world.me.data_centre {
+        return world.topology.relays.contains(&peer.vm);
+    }
+    let heartbeat = world
+        .peers
+        .get(&peer)
+        .and_then(|row| row.heartbeat.as_ref());
+    heartbeat.is_some_and(|heartbeat| heartbeat.is_relay)
 }
 
-/// Mixes the bits of a number (the finalizer of splitmix64).
-const fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
+/// Counts the cells that each candidate claims.
+fn count_claims(world: &World, candidates: &[Candidate]) -> FastMap<Incarnation, u32> {
+    let counts = candidates.iter().map(|vm| {
+        let heartbeat = world
+            .peers
+            .get(&vm.id)
+            .and_then(|row| row.heartbeat.as_ref());
+        let count = if vm.id == world.me {
+            world.claimed_cells.len()
+        } else {
+            heartbeat.map_or(0, |heartbeat| heartbeat.cells.len())
+        };
+        (vm.id, u32::try_from(count).unwrap_or(u32::MAX))
+    });
+    counts.collect()
 }
 
-/// Releases idle workers of cells that this VM does not claim.
-fn release_idle_workers(world: &mut World) {
-    let waiting = world
-        .jobs
-        .values()
-        .any(|job| job.due_tasks().next().is_some());
-    let stopping = matches!(world.phase, Phase::Stopping(_));
-    let idle: Vec<WorkerId> = world
-        .workers
-        .values()
-        .filter(|row| matches!(row.hold, Hold::Held | Hold::Acquiring))
-        .filter(|row| row.runs.is_empty() && !is_claimed(world, &row.entry))
-        .map(|row| row.entry.id)
-        .collect();
-    // A stopping VM without peers that could take its cells keeps the workers that its started jobs
-    // may need.
-    if waiting && stopping && world.claimed_cells.is_empty() {
-        return;
-    }
-    for id in idle {
-        release(world, id);
-    }
+/// Returns the VM with the fewest cells for its size and counts the cell for it. Ties go to the
+/// highest rendezvous score.
+fn least_loaded<'a>(
+    cell: &Cell,
+    vms: impl Iterator<Item = &'a Candidate>,
+    counts: &mut FastMap<Incarnation, u32>,
+) -> Option<Incarnation> {
+    let count = |vm: &Candidate| counts.get(&vm.id).copied().unwrap_or_default() + 1;
+    let compare = |a: &&Candidate, b: &&Candidate| {
+        let by_load = (count(a) * b.weight).cmp(&(count(b) * a.weight));
+        by_load.then_with(|| compare_scores(cell, b, a))
+    };
+    let chosen = vms.min_by(compare)?.id;
+    *counts.entry(chosen).or_default() += 1;
+    Some(chosen)
 }
 
-/// Stops probing unreachable workers of cells that other VMs claim.
-fn stop_unneeded_probes(world: &mut World) {
-    let claimed = world.claimed_cells.clone();
-    let is_claimed = |row: &Worker| claimed.iter().any(|cell| cell.contains(&row.entry));
-    let rows = world.workers.values_mut();
-    for row in rows.filter(|row| row.hold == Hold::Unreachable && !is_claimed(row)) {
-        row.hold = Hold::None;
-        row.poll = None;
-    }
+fn highest_scored<'a>(
+    cell: &Cell,
+    vms: impl Iterator<Item = &'a Candidate>,
+) -> Option<Incarnation> {
+    vms.max_by(|a, b| compare_scores(cell, a, b))
+        .map(|vm| vm.id)
 }
 
-fn release(world: &mut World, id: WorkerId) {
-    if let Some(row) = world.workers.get_mut(&id) {
-        row.hold = Hold::None;
-        row.poll = None;
-        world.heartbeat_due = true;
-        tracing::info!(worker = %id, token = row.token.0, "worker released");
-    }
+fn compare_scores(cell: &Cell, a: &Candidate, b: &Candidate) -> Ordering {
+    let score = |vm: &Candidate| rendezvous_score(cell, vm.id, vm.weight);
+    score(a).total_cmp(&score(b))
 }
 
-/// Starts to acquire the workers of the claimed cells that no other VM holds.
-fn acquire_workers(world: &mut World, cx: &mut Cx<'_>) {
-    let wanted: Vec<WorkerId> = world
-        .workers
-        .values()
-        .filter(|row| match row.hold {
-            Hold::None => true,
-            Hold::Fenced(until) => cx.now >= until,
-            Hold::Acquiring | Hold::Held | Hold::Unreachable => false,
-        })
-        .filter(|row| row.missing_since.is_none() && is_claimed(world, &row.entry))
-        .map(|row| row.entry.id)
-        .filter(|&id| !world.peers.values().any(|peer| peer.still_holds(id)))
-        .collect();
-    for id in wanted {
-        begin_acquisition(world, cx, id);
-    }
+/// Scores a VM for a cell by weighted rendezvous hashing.
+fn rendezvous_score(cell: &Cell, vm: Incarnation, weight: u32) -> f64 {
+    let cell_key = (u64::from(cell.cell_count) << 32 | u64::from(cell.index)) ^ cell.data_centre.0;
+    weighted_score(
+        mix(mix(cell_key) ^ mix(vm.vm.0) ^ mix(vm.nonce)),
+        f64::from(weight),
+    )
 }
 
-/// Starts to acquire a worker under a new token. No run starts there under that token until every
-/// run that was found there has ended.
-pub fn begin_acquisition(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
-    let token = world.next_token(cx.unix_ms);
-    let Some(row) = world.workers.get_mut(&id) else {
-        return;
-    };
-    row.hold = Hold::Acquiring;
-    row.token = token;
-    row.poll = None;
-    row.unanswered_polls = 0;
-    world.stats.acquisitions += 1;
-    tracing::info!(worker = %id, token = token.0, "acquiring worker");
+/// Returns the score of a candidate with this hash and weight in weighted rendezvous hashing: each
+/// candidate has the highest score in proportion to its weight.
+pub fn weighted_score(hash: u64, weight: f64) -> f64 {
+    #[allow(clippy::cast_precision_loss, reason = "a hash as a fraction")]
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -weight / unit.ln()
 }
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -1,9 +1,9 @@
-//! Jobs whose clients called this VM: placement on a runner, and answers to the clients.
+//! Jobs whose clients called this VM: submission, outcomes and answers to the clients.
 
-use super::{cell_assignment, runner};
+use super::placement::{choose_runner, place};
+use super::runner;
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
-use crate::guarded::model::cell::CellLoad;
 use crate::guarded::model::ids::ClientJobId;
 use crate::guarded::model::job::Job;
 use crate::guarded::model::message::Message;
@@ -16,22 +16,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Amount by which the expected wait in another data centre must be shorter for a job to be placed
-/// there.
-const REMOTE_PLACEMENT_MARGIN: Duration = Duration::from_millis(30);
 /// Maximum number of placements of a job: runners that are stopping hand jobs back.
 const MAX_PLACEMENTS: u32 = 4;
 /// Factor on the client's run-time estimate within which most jobs end.
 const RUN_TIME_FACTOR: u32 = 3;
 /// Constant allowance on top of the factor.
 const RUN_TIME_SLACK: Duration = Duration::from_millis(300);
-/// Expected wait above which a job is held back while some cell has no holder. About as long as a
-/// cell takes to pass to another VM.
-const DEFER_ABOVE_WAIT: Duration = Duration::from_millis(300);
-/// Maximum time that a job waits for a runner.
-const MAX_UNPLACED_TIME: Duration = Duration::from_millis(700);
 /// Retry delay sent to clients when no runner is known.
-const NO_RUNNER_RETRY_DELAY: Duration = Duration::from_secs(1);
+pub const NO_RUNNER_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Handles a job that a client submits. A job that is already in progress here gets another waiting
 /// call.
@@ -98,133 +90,6 @@
     }
 }
 
-/// Chooses a runner for a job and sends the job to it. Without a runner the job waits, or is
-/// refused once it has waited too long.
-fn place(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) {
-    let Some(row) = world.entries.get(&id) else {
-        return;
-    };
-    let job = Arc::clone(&row.job);
-    let waited = cx.now.since(row.submitted_at);
-    let may_wait = waited <= MAX_UNPLACED_TIME.min(job.client_timeout / 2);
-    let choice = choose_runner(world, cx, &job);
-    let choice = choice.filter(|choice| !(may_wait && should_defer(world, cx.now, choice)));
-    let Some(choice) = choice else {
-        if !may_wait {
-            let answer = Answer::Refused {
-                cause: RefusalCause::NoRunner,
-                retry_after: NO_RUNNER_RETRY_DELAY,
-            };
-            answer_clients(world, cx, id, answer);
-        } else if let Some(row) = world.entries.get_mut(&id) {
-            row.runner = None;
-        }
-        return;
-    };
-    let Some(row) = world.entries.get_mut(&id) else {
-        return;
-    };
-    row.runner = Some(choice.runner);
-    row.placements += 1;
-    let age = cx.now.since(row.submitted_at);
-    if choice.runner == world.me {
-        runner::accept(world, cx, world.me, job, age);
-        return;
-    }
-    world.stats.placed_remote += 1;
-    tracing::info!(
-        job = %id,
-        runner = %choice.runner.vm,
-        wait_ms = choice.wait.as_millis(),
-        load_age_ms = choice.load_age.as_millis(),
-        "job placed with a peer"
-    );
-    if let Some(peer) = world.peers.get_mut(&choice.runner) {
-        peer.placed_cpu_milli += initial_cpu_milli(&job);
-    }
-    cx.emit(Action::Send {
-        to: choice.runner,
-        message: Message::Place { job, age },
-    });
-}
-
-/// Returns whether a job should wait instead of joining the queue of a busy runner. A cell has no
-/// holder only briefly, while it passes to another VM.
-fn should_defer(world: &World, now: Time, choice: &Choice) -> bool {
-    choice.wait > DEFER_ABOVE_WAIT && cell_assignment::has_unheld_cell(world, now)
-}
-
-/// Retries the placement of jobs that have no runner.
-pub fn retry_unplaced(world: &mut World, cx: &mut Cx<'_>) {
-    let waiting = world.entries.values().filter(|row| row.runner.is_none());
-    let waiting: Vec<_> = waiting.map(|row| row.job.id).collect();
-    for id in waiting {
-        place(world, cx, id);
-    }
-}
-
-/// A runner that a job could be placed on.
-#[derive(Clone, Copy, Debug)]
-struct Choice {
-    runner: Incarnation,
-    wait: Duration,
-    load_age: Duration,
-}
-
-/// Returns the runner with the shortest expected wait. One in another data centre must be better by
-/// a margin.
-fn choose_runner(world: &World, cx: &Cx<'_>, job: &Job) -> Option<Choice> {
-    let need = initial_cpu_milli(job);
-    let mut best: Option<(Duration, Choice)> = None;
-    let mut consider = |runner: Incarnation, load: &CellLoad, placed: u64, load_age: Duration| {
-        if load.capacity_milli == 0 {
-            return;
-        }
-        let load = CellLoad {
-            waiting_milli: load.waiting_milli + placed + need,
-            ..*load
-        };
-        let wait = load.expected_wait();
-        let is_local = load.cell.data_centre == world.me.data_centre;
-        let cost = if is_local {
-            wait
-        } else {
-            wait + REMOTE_PLACEMENT_MARGIN
-        };
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            let choice = Choice {
-                runner,
-                wait,
-                load_age,
-            };
-            best = Some((cost, choice));
-        }
-    };
-    if world.is_serving() {
-        for load in cell_assignment::cell_loads(world, cx.now) {
-            consider(world.me, &load, 0, Duration::ZERO);
-        }
-    }
-    for (&peer, row) in &world.peers {
-        let age = cx.now.since(row.last_message_at);
-        if !row.is_serving() || age >= world.policy.peer_suspect_after {
-            continue;
-        }
-        for load in row.heartbeat.iter().flat_map(|heartbeat| &heartbeat.cells) {
-            consider(peer, load, row.placed_cpu_milli, age);
-        }
-    }
-    best.map(|(_, choice)| choice)
-}
-
-/// Returns the CPU that the steps without dependencies need, in thousandths of a core.
-fn initial_cpu_milli(job: &Job) -> u64 {
-    let first = job.steps.iter().filter(|step| step.after.is_empty());
-    first
-        .map(|step| u64::from(step.count) * step.need.cpu_milli)
-        .sum()
-}
-
 /// Handles a peer's outcome of a job that it ran for this VM.
 pub fn handle_finished(
     world: &mut World,
@@ -271,7 +136,7 @@
     match cause {
         RefusalCause::Stopping => true,
         RefusalCause::Overloaded => {
-            let choice = choose_runner(world, cx, &row.job);
+            let choice = choose_runner(world, cx.now, &row.job).linked;
             choice.is_some_and(|choice| {
                 Some(choice.runner) != row.runner && choice.wait * 2 < retry_after
             })
@@ -280,7 +145,7 @@
     }
 }
 
-fn answer_clients(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
+pub fn answer_clients(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId, answer: Answer) {
     let Some(row) = world.entries.remove(&id) else {
         return;
     };
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -3,15 +3,18 @@
 //!
 //! Each tick runs the systems in a fixed order. A system leaves results for others in the tables or
 //! in the queues of the world, and does not call a system that runs before it. The exception is
-//! [`cell_assignment::begin_acquisition`], which [`polls`] and [`stops`] call.
+//! [`holds::begin_acquisition`], which [`polls`] and [`stops`] call.
 
 pub mod cell_assignment;
 pub mod dispatch;
 pub mod entry;
+pub mod holds;
 pub mod peers;
+pub mod placement;
 pub mod polls;
 pub mod progress;
 pub mod runner;
 pub mod starts;
 pub mod stops;
 pub mod sweep;
+pub mod topology;
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -1,6 +1,6 @@
 //! Polls of workers, which renew leases and report ended and current runs.
 
-use super::cell_assignment;
+use super::holds;
 use crate::guarded::action::{Action, Poll};
 use crate::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
@@ -39,6 +39,9 @@
 const REPLACED_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 /// Consecutive unanswered polls after which a worker that is being acquired counts as unreachable.
 const MAX_UNANSWERED_POLLS: u32 = 2;
+/// Interval between probes of an unreachable worker. After a partition of data centres there may be
+/// hundreds of them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay before an unreachable worker that answers again is acquired. After a network partition
 /// heals, heartbeats of the VMs that use the worker arrive within this time.
 const REACHABLE_ACQUIRE_DELAY: Duration = Duration::from_millis(800);
@@ -50,7 +53,11 @@
     let due: Vec<WorkerId> = world
         .workers
         .values()
-        .filter(|row| matches!(row.hold, Hold::Held | Hold::Acquiring | Hold::Unreachable))
+        .filter(|row| match row.hold {
+            Hold::Held | Hold::Acquiring => true,
+            Hold::Unreachable => cx.now >= row.next_probe_at,
+            Hold::None | Hold::Fenced(_) => false,
+        })
         .filter(|row| {
             row.poll
                 .is_none_or(|poll| is_presumed_lost(row, poll, cx.now))
@@ -125,7 +132,7 @@
         PollReply::Listed(status) => handle_status(world, cx, id, pending.sent_at, status),
         PollReply::Fenced => handle_fenced(world, cx.now, id),
         PollReply::OtherBoot => handle_replaced(world, cx.now, id),
-        PollReply::Silent => handle_unanswered(world, id),
+        PollReply::Silent => handle_unanswered(world, cx.now, id),
     }
 }
 
@@ -138,11 +145,12 @@
 /// Handles a poll that was not answered. A poll with an acquiring token must not be in flight when
 /// a network partition heals, since it would take the worker from a VM that uses it; so after some
 /// unanswered polls the worker is only probed.
-fn handle_unanswered(world: &mut World, id: WorkerId) {
+fn handle_unanswered(world: &mut World, now: Time, id: WorkerId) {
     world.stats.unanswered_requests += 1;
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
+    row.next_probe_at = now + PROBE_INTERVAL;
     if row.hold != Hold::Acquiring {
         return;
     }
@@ -224,7 +232,7 @@
     row.boot = boot;
     row.last_seen = 0;
     row.mark_all_stopping();
-    cell_assignment::begin_acquisition(world, cx, id);
+    holds::begin_acquisition(world, cx, id);
 }
 
 fn handle_status(
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -3,7 +3,7 @@
 use super::{cell_assignment, stops};
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
-use crate::guarded::model::cell::CellLoad;
+use crate::guarded::model::cell::HolderLoad;
 use crate::guarded::model::ids::{ClientJobId, WorkerId};
 use crate::guarded::model::job::Job;
 use crate::guarded::model::message::Message;
@@ -19,6 +19,8 @@
 const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Minimum retry delay sent with a refusal for overload.
 pub const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Maximum retry delay sent with a refusal for overload.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
 
 /// Accepts a job from `origin`, or refuses it. A job that is already in progress gets another
 /// origin, and one that ended recently is answered with its stored outcome.
@@ -30,6 +32,9 @@
     age: Duration,
 ) {
     let id = job.id;
+    if let Some(peer) = world.peers.get_mut(&origin) {
+        peer.record_job(cx.now);
+    }
     if let Some(answer) = world.recent.get(id) {
         answer_origin(world, cx, origin, id, answer);
         return;
@@ -75,7 +80,7 @@
 /// Returns whether each task would fit on some worker if that worker were idle.
 fn is_possible(world: &World, job: &Job) -> bool {
     job.steps.iter().all(|step| {
-        world.workers.values().any(|row| {
+        world.registry.iter().any(|row| {
             let entry = &row.entry;
             let label = step.label.as_ref();
             entry.upstream == job.settings.upstream
@@ -85,28 +90,24 @@
     })
 }
 
-/// Returns the expected wait of a new task in the least loaded cell held here.
+/// Returns the expected wait of a new task on the workers held here.
 pub fn expected_wait(world: &World, cx: &Cx<'_>) -> Duration {
-    let loads = cell_assignment::cell_loads(world, cx.now);
-    let waits = loads.iter().map(|load| load.expected_wait());
-    waits
-        .min()
-        .unwrap_or(MIN_RETRY_DELAY)
-        .min(Duration::from_secs(30))
+    cell_assignment::own_load(world, cx.now)
+        .map_or(MIN_RETRY_DELAY, |load| load.wait_behind(0))
+        .min(MAX_RETRY_DELAY)
 }
 
-/// Returns the expected wait of a task in cells with these loads, behind other tasks that need
-/// `ahead_milli` thousandths of a core.
-pub fn wait_behind(world: &World, loads: &[CellLoad], ahead_milli: u64) -> Duration {
-    let capacity: u64 = loads.iter().map(|load| load.capacity_milli).sum();
-    let free: u64 = loads.iter().map(|load| load.free_milli).sum();
-    let ahead = ahead_milli.saturating_sub(free);
-    if ahead == 0 || capacity == 0 {
-        return Duration::ZERO;
-    }
-    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
-    let rounds = ahead as f64 / capacity as f64;
-    Duration::from_secs_f64(world.mean_run_ms / 1e3).mul_f64(rounds)
+/// Returns the expected wait of a task on workers with this load, behind other tasks that need
+/// `ahead_milli` thousandths of a core. The waiting tasks that the load counts are left out.
+pub fn wait_behind(load: Option<HolderLoad>, ahead_milli: u64) -> Duration {
+    let load = load.filter(|load| load.capacity_milli > 0);
+    load.map_or(Duration::ZERO, |load| {
+        let idle = HolderLoad {
+            waiting_milli: 0,
+            ..load
+        };
+        idle.wait_behind(ahead_milli)
+    })
 }
 
 /// Ends a job: sends its outcome to all its origins and stops its runs.
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -108,7 +108,7 @@
         if let Some(row) = world.workers.get(&id)
             && row.hold == Hold::Held
         {
-            super::cell_assignment::begin_acquisition(world, cx, id);
+            super::holds::begin_acquisition(world, cx, id);
         }
     }
 }
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -4,13 +4,16 @@
 use super::{cell_assignment, dispatch, runner, stops};
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::ids::{ClientJobId, RunId, WorkerId};
+use crate::guarded::policy::PEER_CHECK_INTERVAL;
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
-use crate::guarded::tables::worker::{Hold, Run, RunState};
+use crate::guarded::tables::worker::{Run, RunState};
 use crate::guarded::world::{Cx, World};
 use std::time::Duration;
 
-/// Interval between sweeps.
-pub const INTERVAL: Duration = Duration::from_millis(25);
+/// Interval between sweeps while this VM only has jobs of its own clients.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between sweeps otherwise.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Factor on the predicted run time from which a run counts as hanging.
 const HANG_FACTOR: f64 = 4.0;
 /// Constant allowance on top of the factor.
@@ -18,6 +21,19 @@
 /// Time past the client's timeout at which the runner ends a job whose entry did not withdraw it.
 const CLIENT_TIMEOUT_SLACK: Duration = Duration::from_millis(100);
 
+/// Returns the time until the next sweep.
+pub fn interval(world: &World) -> Duration {
+    let is_runner = world.topology.is_relay || !world.workers.is_empty() || !world.jobs.is_empty();
+    let mut entries = world.entries.values();
+    if is_runner || entries.any(|row| row.runner.is_none()) {
+        PEER_CHECK_INTERVAL
+    } else if !world.entries.is_empty() {
+        ENTRY_INTERVAL
+    } else {
+        IDLE_INTERVAL
+    }
+}
+
 /// Runs all checks.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     refuse_late_jobs(world, cx);
@@ -30,13 +46,13 @@
 /// Refuses unstarted jobs that would end too late, and ends overdue jobs. Jobs are checked in
 /// scheduling order, and each one that stays adds to the wait of those behind it.
 fn refuse_late_jobs(world: &mut World, cx: &mut Cx<'_>) {
-    let loads = cell_assignment::cell_loads(world, cx.now);
+    let load = cell_assignment::own_load(world, cx.now);
     let mut ahead_milli = 0;
     for (_, id) in dispatch::jobs_by_rank(world, cx.now) {
         let Some(job) = world.jobs.get(&id) else {
             continue;
         };
-        let wait = runner::wait_behind(world, &loads, ahead_milli);
+        let wait = runner::wait_behind(load, ahead_milli);
         match decide_outcome(world, cx, job, wait) {
             Some(answer) => runner::end_job(world, cx, id, answer),
             None => ahead_milli += job.due_milli(),
@@ -123,27 +139,21 @@
     }
 }
 
-/// Removes workers that have been missing from the registry for a while and have no runs.
+/// Removes workers that have been missing from the registry for a while. One that still has runs
+/// gets no new ones and stays until they have ended.
 fn remove_missing_workers(world: &mut World, cx: &Cx<'_>) {
-    let grace = world.policy.missing_grace;
-    let gone: Vec<WorkerId> = world
-        .workers
-        .values()
-        .filter(|row| {
-            let missing = row.missing_since;
-            missing.is_some_and(|since| cx.now.since(since) > grace) && row.runs.is_empty()
-        })
-        .map(|row| row.entry.id)
-        .collect();
+    let gone = world
+        .registry
+        .missing_for(cx.now, world.policy.missing_grace);
     for id in gone {
-        tracing::info!(worker = %id, "removing worker that is no longer in the registry");
-        world.workers.remove(&id);
-    }
-    for row in world.workers.values_mut() {
-        // A worker that stays missing gets no new runs while its last ones end.
-        let missing = row.missing_since;
-        if missing.is_some_and(|since| cx.now.since(since) > grace) && row.hold == Hold::Held {
+        if let Some(row) = world.workers.get_mut(&id)
+            && !row.runs.is_empty()
+        {
             row.entry.draining = true;
+            continue;
         }
+        tracing::info!(worker = %id, "removing worker that is no longer in the registry");
+        world.workers.remove(&id);
+        world.registry.remove(id);
     }
 }
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -137,6 +137,8 @@
     pub used: Resources,
     /// Failures and slowdown.
     pub health: Health,
+    /// Time of the next probe while it is unreachable.
+    pub next_probe_at: Time,
     /// Time until which it counts as full, regardless of `used`.
     pub full_until: Time,
     clock: Option<ClockSample>,
@@ -163,6 +165,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             health: Health::default(),
+            next_probe_at: Time::ZERO,
             full_until: Time::ZERO,
             clock: None,
             lease_end_ms: 0,
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -12,10 +12,14 @@
 use super::tables::estimator::Estimator;
 use super::tables::peer::Peer;
 use super::tables::recent::RecentOutcomes;
+use super::tables::remote_holder::RemoteHolderRow;
 use super::tables::runner_job::RunnerJob;
+use super::tables::topology::Topology;
+use super::tables::vm_directory::VmDirectory;
 use super::tables::worker::{Run, Worker};
+use super::tables::worker_registry::WorkerRegistry;
 use crate::collections::FastMap;
-use crate::model::ids::CallId;
+use crate::model::ids::{CallId, DataCentreId, VmId};
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use crate::timers::TimerQueue;
@@ -75,16 +79,24 @@
     pub queues: Option<Arc<QueueTable>>,
     /// Time since which a peer has a newer configuration, or time of the last request for it.
     pub outdated_since: Option<Time>,
+    /// Workers that the store lists.
+    pub registry: WorkerRegistry,
+    /// Workers of the claimed cells, and others whose runs are not known to have ended.
     pub workers: BTreeMap<WorkerId, Worker>,
+    /// Entry VMs that the store lists.
+    pub directory: VmDirectory,
     pub peers: BTreeMap<Incarnation, Peer>,
+    pub topology: Topology,
+    /// Holders in other data centres that the relays reported.
+    pub remote_holders: BTreeMap<Incarnation, RemoteHolderRow>,
     /// Time of the last event or tick, used to detect stalls.
     pub last_active_at: Option<Time>,
     /// Cell claims are not changed before this time, after a short stall of this process.
     pub claims_paused_until: Time,
     /// No cell is claimed before this time, because the peers and their cells may not be known yet.
     pub claims_allowed_at: Time,
-    /// Number of other VMs in the registry; `None` until it was read, and after a stall.
-    pub listed_vms: Option<usize>,
+    /// Whether claims may begin early, once every peer has sent a heartbeat. Not so after a stall.
+    pub may_claim_early: bool,
     /// Cells whose workers this VM acquires and uses.
     pub claimed_cells: BTreeSet<Cell>,
     /// Highest fencing token seen.
@@ -106,8 +118,12 @@
     pub finished_jobs: Vec<FinishedJob>,
     /// Stops that `systems::stops` sends.
     pub stops: Vec<(WorkerId, RunId)>,
-    /// Whether the next tick sends heartbeats.
+    /// Number of the current heartbeat round.
+    pub heartbeat_round: u64,
+    /// Whether heartbeats are to be sent to all peers without waiting for their rounds.
     pub heartbeat_due: bool,
+    /// Time of the last heartbeats that did not wait for their rounds.
+    pub last_broadcast_at: Time,
 }
 
 /// Mean run time assumed before the first observation, in milliseconds.
@@ -128,12 +144,16 @@
             stats: Stats::default(),
             queues: None,
             outdated_since: None,
+            registry: WorkerRegistry::default(),
             workers: BTreeMap::new(),
+            directory: VmDirectory::default(),
             peers: BTreeMap::new(),
+            topology: Topology::default(),
+            remote_holders: BTreeMap::new(),
             last_active_at: None,
             claims_paused_until: Time::ZERO,
             claims_allowed_at: Time::ZERO + policy.claim_delay,
-            listed_vms: None,
+            may_claim_early: true,
             claimed_cells: BTreeSet::new(),
             token: FencingToken(0),
             entries: FastMap::default(),
@@ -147,7 +167,9 @@
             finished_runs: Vec::new(),
             finished_jobs: Vec::new(),
             stops: Vec::new(),
+            heartbeat_round: 0,
             heartbeat_due: false,
+            last_broadcast_at: Time::ZERO,
         }
     }
 
@@ -216,6 +238,17 @@
         }
     }
 
+    /// Returns the peer on a VM.
+    pub fn peer_of_vm(&self, data_centre: DataCentreId, vm: VmId) -> Option<&Peer> {
+        let with_nonce = |nonce| Incarnation {
+            data_centre,
+            vm,
+            nonce,
+        };
+        let mut rows = self.peers.range(with_nonce(0)..=with_nonce(u64::MAX));
+        rows.next().map(|(_, row)| row)
+    }
+
     pub const fn is_serving(&self) -> bool {
         matches!(self.phase, Phase::Serving)
     }
--- a/crates/core/src/model/time.rs
+++ b/crates/core/src/model/time.rs
@@ -32,6 +32,13 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time that is `span` earlier, or [`Time::ZERO`] if there is none.
+    #[must_use]
+    pub fn minus(self, span: Duration) -> Self {
+        let span = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(span))
+    }
 }
 
 impl Add<Duration> for Time {
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -1,6 +1,6 @@
 //! Load and fault scenarios: which jobs complete, wait or are refused, and where they run.
 
-use crate::sim::{MS, Shape, Sim};
+use crate::sim::{EQUAL, MS, Shape, Sim};
 use crate::worker::Behaviour;
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use cardamomslip_core::guarded::model::ids::ClientJobId;
@@ -11,24 +11,28 @@
     vms: 1,
     data_centres: 1,
     workers: 4,
+    weights: EQUAL,
 };
 /// One data centre with two VMs and three workers.
 const TWO_VMS: Shape = Shape {
     vms: 2,
     data_centres: 1,
     workers: 3,
+    weights: EQUAL,
 };
 /// Two VMs and one worker.
 const ONE_WORKER: Shape = Shape {
     vms: 2,
     data_centres: 1,
     workers: 1,
+    weights: EQUAL,
 };
 /// Two data centres with two VMs and three workers each.
 const TWO_DATA_CENTRES: Shape = Shape {
     vms: 4,
     data_centres: 2,
     workers: 6,
+    weights: EQUAL,
 };
 
 fn answer(sim: &Sim, id: ClientJobId) -> Option<Answer> {
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -1,6 +1,6 @@
 //! Property test: random sequences of jobs and faults, with the invariants checked throughout.
 
-use crate::sim::{Shape, Sim};
+use crate::sim::{EQUAL, Shape, Sim};
 use crate::worker::Behaviour;
 use cardamomslip_core::guarded::model::answer::Answer;
 use proptest::prelude::*;
@@ -172,6 +172,7 @@
         vms: VMS,
         data_centres: 2,
         workers: WORKERS,
+        weights: EQUAL,
     };
     let mut sim = Sim::new(shape, seed);
     for op in ops {
--- a/crates/core/tests/guarded/recovery.rs
+++ b/crates/core/tests/guarded/recovery.rs
@@ -1,6 +1,6 @@
 //! Fault scenarios: which runs and workers survive a fault, and how long recovery takes.
 
-use crate::sim::{Shape, Sim};
+use crate::sim::{EQUAL, Shape, Sim};
 use cardamomslip_core::guarded::model::answer::Answer;
 
 /// Two data centres with two VMs and three workers each.
@@ -8,6 +8,7 @@
     vms: 4,
     data_centres: 2,
     workers: 6,
+    weights: EQUAL,
 };
 
 /// Two data centres with six VMs and three workers each.
@@ -15,6 +16,7 @@
     vms: 12,
     data_centres: 2,
     workers: 6,
+    weights: EQUAL,
 };
 
 /// Partitions the two data centres, including their workers.
--- a/crates/core/tests/guarded/sim/links.rs
+++ b/crates/core/tests/guarded/sim/links.rs
@@ -3,7 +3,8 @@
 use super::*;
 impl Sim {
     pub(super) fn reconnect(&mut self, a: usize, b: usize) {
-        if a == b || !self.is_up(a) || !self.is_up(b) || self.links.contains_key(&(a, b)) {
+        let is_wanted = a != b && (self.wants(a, b) || self.wants(b, a));
+        if !is_wanted || !self.is_up(a) || !self.is_up(b) || self.links.contains_key(&(a, b)) {
             return;
         }
         let cut = self.cut.contains(&(a, b)) || self.cut.contains(&(b, a));
@@ -19,6 +20,78 @@
         self.notify_link(b, self.vms[a].me);
     }
 
+    fn wants(&self, vm: usize, peer: usize) -> bool {
+        self.vms[vm].wanted.contains(&self.vms[peer].me.vm)
+    }
+
+    /// Sets the VMs that a VM connects to.
+    pub(super) fn set_wanted(&mut self, vm: usize, vms: Vec<VmId>) {
+        self.vms[vm].wanted = vms.into_iter().collect();
+        for peer in 0..self.vms.len() {
+            if self.wants(vm, peer) && !self.links.contains_key(&(vm, peer)) {
+                let wait = self.rng.random_range(5..60) * MS;
+                self.push(self.now + wait, SimEvent::Reconnect(vm, peer));
+            }
+        }
+    }
+
+    /// Closes a connection for a VM. The peer detects that unless messages to it are lost.
+    pub(super) fn disconnect(&mut self, vm: usize, peer: Incarnation) {
+        let Some(known) = self.known_links.get(&(vm, peer)).copied() else {
+            return;
+        };
+        self.push_event(self.now, vm, Event::PeerDown(peer));
+        let row = (0..self.vms.len()).find(|&row| self.vms[row].me == peer);
+        let Some(row) = row.filter(|&row| self.links.get(&(vm, row)) == Some(&known)) else {
+            return;
+        };
+        self.remove_link(vm, row);
+        if !self.cut.contains(&(vm, row)) {
+            let (me, boot) = (self.vms[vm].me, self.vms[row].boot);
+            self.push(
+                self.now + LINK_LATENCY,
+                SimEvent::LinkDown(row, boot, me, known),
+            );
+        }
+        self.push(self.now + REDIAL_DELAY, SimEvent::Reconnect(vm, row));
+    }
+
+    /// Connects again to a peer whose connection was lost.
+    pub(super) fn redial_soon(&mut self, vm: usize, peer: Incarnation) {
+        let row = (0..self.vms.len()).find(|&row| self.vms[row].me.vm == peer.vm);
+        let Some(row) = row.filter(|&row| self.wants(vm, row)) else {
+            return;
+        };
+        let boot = self.vms[vm].boot;
+        self.push(self.now + 2 * LINK_LATENCY, SimEvent::Redial(vm, boot, row));
+    }
+
+    pub(super) fn redial(&mut self, vm: usize, boot: u32, peer: usize) {
+        if self.vms[vm].boot != boot {
+            return;
+        }
+        let is_cut = self.cut.contains(&(vm, peer)) || self.cut.contains(&(peer, vm));
+        if self.is_up(peer) {
+            self.reconnect(vm, peer);
+        } else if !is_cut && !self.vms[peer].is_powerless {
+            let refused = Event::VmRefused(self.vms[peer].me.vm);
+            self.push_event(self.now + LINK_LATENCY, vm, refused);
+        }
+    }
+
+    /// Resets all connections between VMs.
+    pub fn reset_links(&mut self) {
+        for vm in 0..self.vms.len() {
+            let me = self.vms[vm].me;
+            self.drop_links(vm, me, LINK_LATENCY);
+        }
+    }
+
+    /// Returns the number of connections of a VM.
+    pub fn link_count(&self, vm: usize) -> usize {
+        self.links.keys().filter(|(from, _)| *from == vm).count()
+    }
+
     /// Removes a connection and returns its number.
     pub(super) fn remove_link(&mut self, a: usize, b: usize) -> Option<u64> {
         self.links.remove(&(a, b));
@@ -43,26 +116,11 @@
         }
     }
 
-    /// Drops all messages from `a` to `b`. `b` closes the connection after `PEER_SILENCE`, and
-    /// `a` detects that. If both directions are cut, `a` closes it after the same time.
+    /// Drops all messages from `a` to `b`.
     pub fn cut(&mut self, a: usize, b: usize) {
-        if a == b || !self.cut.insert((a, b)) || !self.links.contains_key(&(a, b)) {
-            return;
+        if a != b {
+            self.cut.insert((a, b));
         }
-        let link = self.remove_link(a, b).unwrap_or_default();
-        let both = self.cut.contains(&(b, a));
-        let (me_a, me_b) = (self.vms[a].me, self.vms[b].me);
-        let (boot_a, boot_b) = (self.vms[a].boot, self.vms[b].boot);
-        self.push(
-            self.now + PEER_SILENCE,
-            SimEvent::LinkDown(b, boot_b, me_a, link),
-        );
-        let later = if both {
-            PEER_SILENCE
-        } else {
-            PEER_SILENCE + LINK_LATENCY
-        };
-        self.push(self.now + later, SimEvent::LinkDown(a, boot_a, me_b, link));
     }
 
     /// Blocks all messages between a VM and a worker.
@@ -78,10 +136,7 @@
         self.lost_reply_ratio = 0.0;
         for a in 0..self.vms.len() {
             for b in 0..a {
-                self.push(
-                    self.now + PEER_SILENCE + 200 * MS,
-                    SimEvent::Reconnect(a, b),
-                );
+                self.push(self.now + 600 * MS, SimEvent::Reconnect(a, b));
             }
         }
     }
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -17,6 +17,7 @@
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use cardamomslip_core::guarded::model::reply::{PollReply, StartReply, StopReply};
 use cardamomslip_core::guarded::model::resources::Resources;
+use cardamomslip_core::guarded::model::vm::VmEntry;
 use cardamomslip_core::guarded::model::worker::WorkerEntry;
 use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy, Stats};
 use cardamomslip_core::model::ids::{CallId, DataCentreId, VmId};
@@ -34,8 +35,12 @@
 const LINK_LATENCY: u64 = 500;
 /// Timeout of a request to a worker, in addition to the time that a poll may wait.
 const REQUEST_TIMEOUT: u64 = 120 * MS;
-/// Time without a message after which a connection between VMs is closed.
-const PEER_SILENCE: u64 = 400 * MS;
+/// Time without a message after which a connection between VMs is closed if no VM closed it before.
+const LINK_IDLE_TIMEOUT: u64 = 3_500 * MS;
+/// Delay before a VM connects again to one that it lost the connection to.
+const REDIAL_DELAY: u64 = 100 * MS;
+/// Weights of VMs of the same size.
+pub const EQUAL: &[u32] = &[25];
 /// Delay before a client submits a job again.
 const CLIENT_RESEND: u64 = 1_300 * MS;
 /// Maximum number of times that a client submits a job.
@@ -65,6 +70,8 @@
     Thaw(usize, u32),
     /// Two VMs try to connect to each other.
     Reconnect(usize, usize),
+    /// A VM connects to one whose process may have ended: VM, its boot, the other VM.
+    Redial(usize, u32, usize),
     /// A VM detects that the connection with this number to a peer has closed.
     LinkDown(usize, u32, Incarnation, u64),
 }
@@ -77,6 +84,12 @@
     boot: u32,
     started: u64,
     frozen_since: Option<u64>,
+    /// Whether the VM has no power, so that it does not refuse connections.
+    is_powerless: bool,
+    /// VMs that its dispatcher connects to.
+    wanted: BTreeSet<VmId>,
+    /// Whether its dispatcher follows the registry of the workers.
+    follows_workers: bool,
     /// Whether the monotonic clock of the VM stops while the VM is frozen.
     is_suspended: bool,
     /// Time that the monotonic clock was stopped.
@@ -105,6 +118,8 @@
     pub vms: usize,
     pub data_centres: usize,
     pub workers: usize,
+    /// Weights of the VMs of a data centre, which repeat.
+    pub weights: &'static [u32],
 }
 
 /// State of the simulation.
@@ -134,6 +149,8 @@
     worker_cut: BTreeSet<(usize, usize)>,
     /// Workers at whose address another worker answers.
     replaced_workers: BTreeSet<usize>,
+    /// Number of heartbeats sent between VMs.
+    pub heartbeats: u64,
     /// Number of configurations sent between VMs.
     pub queues_sent: u64,
     /// Number of requests to workers that are down or replaced.
@@ -172,6 +189,7 @@
             cut: BTreeSet::new(),
             worker_cut: BTreeSet::new(),
             replaced_workers: BTreeSet::new(),
+            heartbeats: 0,
             queues_sent: 0,
             misdirected_requests: 0,
             rng,
@@ -187,6 +205,9 @@
                 boot: 0,
                 started: 0,
                 frozen_since: None,
+                is_powerless: false,
+                wanted: BTreeSet::new(),
+                follows_workers: false,
                 is_suspended: false,
                 suspended_total: 0,
                 next_tick_at: 0,
@@ -266,11 +287,13 @@
             SimEvent::ClientTimeout(id, submission) => self.handle_client_timeout(id, submission),
             SimEvent::Thaw(vm, boot) => self.thaw(vm, boot),
             SimEvent::Reconnect(a, b) => self.reconnect(a, b),
+            SimEvent::Redial(vm, boot, peer) => self.redial(vm, boot, peer),
             SimEvent::LinkDown(vm, boot, peer, link) => {
                 // If the connection was replaced, its end has been reported already.
                 let known = self.known_links.get(&(vm, peer)) == Some(&link);
                 if self.vms[vm].boot == boot && known {
                     self.push_event(self.now, vm, Event::PeerDown(peer));
+                    self.redial_soon(vm, peer);
                 }
             }
         }
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -12,35 +12,62 @@
         row.frozen_since = None;
         row.suspended_total = 0;
         row.backlog.clear();
-        row.dispatcher = Some(Dispatcher::new(
-            Identity { me, weight: 25 },
-            Policy::default(),
-        ));
+        row.is_powerless = false;
+        row.wanted.clear();
+        row.follows_workers = false;
+        let weight = self.weight(vm);
+        let row = &mut self.vms[vm];
+        row.dispatcher = Some(Dispatcher::new(Identity { me, weight }, Policy::default()));
         row.next_tick_at = self.now;
         let boot = row.boot;
         self.push(self.now, SimEvent::Tick(vm, boot));
-        let entries = (0..self.workers.len()).filter(|&w| self.workers[w].up);
-        let entries: Vec<_> = entries.map(|w| self.registry_entry(w)).collect();
-        self.push_event(self.now + MS, vm, Event::WorkersListed(entries));
         let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
         self.push_event(self.now + MS, vm, Event::Queues(table));
-        let listed = self.vms.len() - 1;
-        self.push_event(self.now + MS, vm, Event::VmsListed(listed));
+        self.publish_vms(vm);
         for peer in 0..self.vms.len() {
             let wait = self.rng.random_range(20..300) * MS;
             self.push(self.now + wait, SimEvent::Reconnect(vm, peer));
         }
     }
 
-    /// Kills a VM. If `power` is set, the VM loses power: its connections are not closed, and its
-    /// peers detect that it is gone after `PEER_SILENCE`.
+    /// Returns the weight of a VM.
+    pub(super) fn weight(&self, vm: usize) -> u32 {
+        let weights = self.shape.weights;
+        weights[(vm / self.shape.data_centres) % weights.len()]
+    }
+
+    /// Delivers the registry of the VMs to one that has just started, and then to the others.
+    fn publish_vms(&mut self, started: usize) {
+        let entries = (0..self.vms.len()).map(|vm| VmEntry {
+            vm: self.vms[vm].me.vm,
+            data_centre: self.vms[vm].me.data_centre,
+            weight: self.weight(vm),
+            revision: u64::from(self.vms[vm].boot),
+        });
+        let entries: Vec<VmEntry> = entries.collect();
+        for vm in 0..self.vms.len() {
+            let delay = if vm == started { MS } else { 5 * MS };
+            self.push_event(self.now + delay, vm, Event::VmsListed(entries.clone()));
+        }
+    }
+
+    /// Kills a VM. If `power` is set, the VM loses power: its connections are not closed.
     pub fn kill(&mut self, vm: usize, power: bool) {
         if self.vms[vm].dispatcher.take().is_none() {
             return;
         }
         let me = self.vms[vm].me;
         self.vms[vm].boot += 1;
-        self.drop_links(vm, me, if power { PEER_SILENCE } else { LINK_LATENCY });
+        self.vms[vm].is_powerless = power;
+        self.drop_links(
+            vm,
+            me,
+            if power {
+                LINK_IDLE_TIMEOUT
+            } else {
+                LINK_LATENCY
+            },
+        );
         let calls = std::mem::take(&mut self.vms[vm].calls);
         for id in calls.into_values() {
             self.schedule_resend(id);
@@ -82,13 +109,13 @@
         self.vms[vm].is_suspended = false;
         let boot = self.vms[vm].boot;
         self.push(self.now + ms * MS, SimEvent::Thaw(vm, boot));
-        if ms * MS > PEER_SILENCE {
+        if ms * MS > LINK_IDLE_TIMEOUT {
             let me = self.vms[vm].me;
             for peer in 0..self.vms.len() {
                 if let Some(&link) = self.links.get(&(vm, peer)) {
                     let boot = self.vms[peer].boot;
                     self.push(
-                        self.now + PEER_SILENCE,
+                        self.now + LINK_IDLE_TIMEOUT,
                         SimEvent::LinkDown(peer, boot, me, link),
                     );
                 }
@@ -110,7 +137,7 @@
         if self.vms[vm].is_suspended && span >= 300 * MS {
             self.run_vm(vm, Some(Event::Stalled(Duration::from_micros(span))));
         }
-        if span > PEER_SILENCE {
+        if span > LINK_IDLE_TIMEOUT {
             for peer in 0..self.vms.len() {
                 if self.remove_link(vm, peer).is_some() {
                     let incarnation = self.vms[peer].me;
@@ -181,7 +208,18 @@
                     self.handle_answer(id, answer);
                 }
             }
+            Action::Connect(vms) => self.set_wanted(vm, vms),
+            Action::Disconnect(peer) => self.disconnect(vm, peer),
+            Action::FollowWorkers(follow) => {
+                self.vms[vm].follows_workers = follow;
+                if follow {
+                    let entries = (0..self.workers.len()).filter(|&w| self.workers[w].up);
+                    let entries: Vec<_> = entries.map(|w| self.registry_entry(w)).collect();
+                    self.push_event(self.now + 2 * MS, vm, Event::WorkersListed(entries));
+                }
+            }
             Action::Send { to, message } => {
+                self.heartbeats += u64::from(matches!(message, Message::Heartbeat(_)));
                 self.queues_sent += u64::from(matches!(message, Message::Queues(_)));
                 let Some(peer) = (0..self.vms.len()).find(|&p| self.vms[p].me == to) else {
                     return;
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -18,9 +18,12 @@
         }
     }
 
-    /// Delivers the registry entry of a worker, or its removal, to all VMs.
+    /// Delivers the registry entry of a worker, or its removal, to all VMs that follow the registry.
     pub(super) fn publish_worker(&mut self, worker: usize) {
         for vm in 0..self.vms.len() {
+            if !self.vms[vm].follows_workers {
+                continue;
+            }
             let event = if self.workers[worker].up {
                 Event::Worker(self.registry_entry(worker))
             } else {
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -183,6 +183,13 @@
                     self.peers.send_on(to, link, message);
                 }
             }
+            Action::Connect(vms) => self.peers.set_wanted(vms),
+            Action::Disconnect(peer) => {
+                if let Some(&link) = self.links.get(&peer) {
+                    self.peers.close_link(peer, link);
+                }
+            }
+            Action::FollowWorkers(follow) => self.adapter.follow_workers(follow),
             Action::Poll(poll) => self.adapter.workers().poll(poll),
             Action::Start(start) => self.adapter.workers().start(start),
             Action::Stop { worker, run, token } => self.adapter.workers().stop(worker, run, token),
--- a/src/guarded/adapter.rs
+++ b/src/guarded/adapter.rs
@@ -41,6 +41,9 @@
     /// Applies the queues of a newer configuration.
     fn set_queues(&mut self, queues: &Arc<QueueTable>);
 
+    /// Sets whether the registry of the workers is to be followed.
+    fn follow_workers(&mut self, follow: bool);
+
     /// Called when a graceful stop begins. From then on, client connections should be closed after
     /// their next response.
     fn begin_stop(&mut self);
--- a/src/guarded/input.rs
+++ b/src/guarded/input.rs
@@ -6,6 +6,7 @@
 use cardamomslip_core::guarded::model::answer::{Answer, RefusalCause};
 use cardamomslip_core::guarded::model::job::Job;
 use cardamomslip_core::guarded::model::message::Message;
+use cardamomslip_core::model::ids::VmId;
 use cardamomslip_core::model::incarnation::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +75,10 @@
         self.send_event(Event::PeerDown(peer));
     }
 
+    fn connection_refused(&self, vm: VmId) {
+        self.send_event(Event::VmRefused(vm));
+    }
+
     fn message_received(&self, from: Incarnation, message: Message) {
         self.send_event(Event::Message { from, message });
     }
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -71,6 +71,13 @@
             counter!("cardamomslip_takeovers_total").absolute(stats.acquisitions);
             counter!("cardamomslip_lapses_total").absolute(stats.expired_leases);
             counter!("cardamomslip_ejections_total").absolute(stats.ejections);
+            gauge!("cardamomslip_linked_peers").set(stats.linked_peers as f64);
+            gauge!("cardamomslip_relays").set(stats.relays as f64);
+            gauge!("cardamomslip_held_cells").set(stats.held_cells as f64);
+            gauge!("cardamomslip_registered_workers").set(stats.registered_workers as f64);
+            gauge!("cardamomslip_worker_rows").set(stats.worker_rows as f64);
+            gauge!("cardamomslip_oldest_remote_load_seconds")
+                .set(stats.oldest_remote_load.as_secs_f64());
             gauge!("cardamomslip_held_workers").set(stats.held_workers as f64);
             gauge!("cardamomslip_waiting_tasks").set(stats.waiting_tasks as f64);
             gauge!("cardamomslip_running").set(stats.running as f64);
--- a/src/guarded/wire.rs
+++ b/src/guarded/wire.rs
@@ -3,12 +3,12 @@
 //! Records are CBOR arrays of their fields in a fixed order, as in [`crate::peers`]. Durations are
 //! in microseconds.
 
-use crate::peers::{PeerMessage, WireError};
+use crate::peers::{IncarnationWire, PeerMessage, WireError};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
-use cardamomslip_core::guarded::model::cell::{Cell, CellLoad};
+use cardamomslip_core::guarded::model::cell::{Cell, CellLoad, HolderLoad};
 use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId, WorkerId};
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
-use cardamomslip_core::guarded::model::message::{Heartbeat, Message};
+use cardamomslip_core::guarded::model::message::{Heartbeat, Message, RemoteHolder};
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::model::ids::DataCentreId;
@@ -54,9 +54,25 @@
     Queues(u64, u64, Vec<QueueWire>),
 }
 
-/// `weight`, `leaving`, `queues_version`, `token`, `cells`, `still_held`.
+/// `weight`, `leaving`, `queues_version`, `token`, `cells`, `still_held`, `next_within`, `is_relay`,
+/// `wants_link`, `remote_holders`.
 #[derive(Debug, Serialize, Deserialize)]
-struct HeartbeatWire(u32, bool, u64, u64, Vec<CellLoadWire>, Vec<u64>);
+struct HeartbeatWire(
+    u32,
+    bool,
+    u64,
+    u64,
+    Vec<CellLoadWire>,
+    Vec<u64>,
+    u64,
+    bool,
+    bool,
+    Vec<RemoteHolderWire>,
+);
+
+/// `holder`, `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`, `age`.
+#[derive(Debug, Serialize, Deserialize)]
+struct RemoteHolderWire(IncarnationWire, u64, u64, u64, u64, u64);
 
 /// `data_centre`, `cell_count`, `index`.
 #[derive(Debug, Serialize, Deserialize)]
@@ -178,6 +194,10 @@
             heartbeat.token,
             heartbeat.cells.iter().map(CellLoadWire::from).collect(),
             heartbeat.still_held.iter().map(|worker| worker.0).collect(),
+            micros(heartbeat.next_within),
+            heartbeat.is_relay,
+            heartbeat.wants_link,
+            heartbeat.remote_holders.iter().map(Into::into).collect(),
         )
     }
 }
@@ -186,7 +206,18 @@
     type Error = WireError;
 
     fn try_from(wire: HeartbeatWire) -> Result<Self, WireError> {
-        let HeartbeatWire(weight, leaving, queues_version, token, cells, still_held) = wire;
+        let HeartbeatWire(
+            weight,
+            leaving,
+            queues_version,
+            token,
+            cells,
+            still_held,
+            next_within,
+            is_relay,
+            wants_link,
+            remote_holders,
+        ) = wire;
         let cells = cells.into_iter().map(CellLoad::try_from);
         Ok(Self {
             weight,
@@ -195,10 +226,43 @@
             token,
             cells: cells.collect::<Result<_, _>>()?,
             still_held: still_held.into_iter().map(WorkerId).collect(),
+            next_within: Duration::from_micros(next_within),
+            is_relay,
+            wants_link,
+            remote_holders: remote_holders.into_iter().map(Into::into).collect(),
         })
     }
 }
 
+impl From<&RemoteHolder> for RemoteHolderWire {
+    fn from(remote: &RemoteHolder) -> Self {
+        Self(
+            remote.holder.into(),
+            remote.load.capacity_milli,
+            remote.load.free_milli,
+            remote.load.waiting_milli,
+            micros(remote.load.mean_run),
+            micros(remote.age),
+        )
+    }
+}
+
+impl From<RemoteHolderWire> for RemoteHolder {
+    fn from(wire: RemoteHolderWire) -> Self {
+        let RemoteHolderWire(holder, capacity, free, waiting, mean_run, age) = wire;
+        Self {
+            holder: holder.into(),
+            load: HolderLoad {
+                capacity_milli: capacity,
+                free_milli: free,
+                waiting_milli: waiting,
+                mean_run: Duration::from_micros(mean_run),
+            },
+            age: Duration::from_micros(age),
+        }
+    }
+}
+
 impl From<Cell> for CellWire {
     fn from(cell: Cell) -> Self {
         Self(cell.data_centre.0, cell.cell_count, cell.index)
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -6,6 +6,7 @@
 use super::peer_config::PeerConfig;
 use super::protocol::{PeerMessage, PeerSink};
 use crate::error::{Error, ErrorKind};
+use cardamomslip_core::model::ids::VmId;
 use cardamomslip_core::model::incarnation::Incarnation;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -96,6 +97,17 @@
         self.tx.send(HubEvent::PeersChanged(peers));
     }
 
+    /// Replaces the set of VMs to connect to. Until the first call, all peers in the list are
+    /// connected to.
+    pub fn set_wanted(&self, vms: Vec<VmId>) {
+        self.tx.send(HubEvent::WantedChanged(vms));
+    }
+
+    /// Closes the connection with the number `link`. Does nothing if it has ended.
+    pub fn close_link(&self, peer: Incarnation, link: u64) {
+        self.tx.send(HubEvent::CloseLink { peer, number: link });
+    }
+
     /// Sends all queued frames and closes all connections. Blocks the calling thread, so the
     /// runtime must run on other threads; on a single-threaded runtime use
     /// [`PeerHub::close_async`].
--- a/src/peers/hub_event.rs
+++ b/src/peers/hub_event.rs
@@ -16,6 +16,17 @@
     Incoming,
 }
 
+/// How a connection attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialOutcome {
+    /// The connection was established, and has ended since.
+    Connected,
+    /// No process listens at the address.
+    Refused,
+    /// It failed in another way.
+    Failed,
+}
+
 /// An entry VM and its address for connections from peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerAddress {
@@ -56,8 +67,17 @@
     },
     /// The list of peers has changed.
     PeersChanged(Vec<PeerAddress>),
-    /// A connection attempt has ended.
-    DialEnded(SocketAddr),
+    /// The VMs to connect to have changed; before the first such event these are all in the list.
+    WantedChanged(Vec<VmId>),
+    /// A connection is to be closed, unless it has been replaced.
+    CloseLink { peer: Incarnation, number: u64 },
+    /// A connection attempt, or the connection that it opened, has ended.
+    DialEnded {
+        address: SocketAddr,
+        outcome: DialOutcome,
+    },
+    /// A peer whose connection was lost is to be connected to again.
+    Redial(SocketAddr),
     /// A connection attempt has reached this process itself.
     SelfDialed(SocketAddr),
     /// The hub is to close all connections; the reply is sent once they have ended.
--- a/src/peers/hub_state.rs
+++ b/src/peers/hub_state.rs
@@ -1,6 +1,7 @@
 //! State of the hub: its connections, and the peers that it connects to.
 
-use super::hub_event::{Direction, HubEvent, HubSender, PeerAddress};
+use super::dial_target::DialTarget;
+use super::hub_event::{DialOutcome, Direction, HubEvent, HubSender, PeerAddress};
 use super::link::{self, LinkError};
 use super::peer_config::PeerConfig;
 use super::protocol::{PeerMessage, PeerSink};
@@ -17,6 +18,9 @@
 /// Time that the VM with the larger identifier waits for the other one to connect first, so that
 /// two VMs rarely open two connections to each other.
 const DIAL_DELAY: Duration = Duration::from_millis(250);
+/// Same as [`DIAL_DELAY`], after a connection was lost. It is short because other VMs wait to know
+/// whether the peer is alive.
+const REDIAL_DELAY: Duration = Duration::from_millis(30);
 
 /// An established connection.
 #[derive(Debug)]
@@ -28,14 +32,6 @@
     last_received: Instant,
 }
 
-/// A peer to connect to. Seeds have no VM.
-#[derive(Clone, Copy, Debug)]
-struct DialTarget {
-    vm: Option<VmId>,
-    address: SocketAddr,
-    missing_since: Option<Instant>,
-}
-
 #[derive(Debug)]
 pub struct HubState<M, S> {
     config: PeerConfig,
@@ -44,6 +40,8 @@
     address: SocketAddr,
     links: FastMap<Incarnation, Link>,
     targets: Vec<DialTarget>,
+    /// VMs to connect to; `None` for all in the list.
+    wanted: Option<FastSet<VmId>>,
     dialing: FastSet<SocketAddr>,
     own_addresses: FastSet<SocketAddr>,
 }
@@ -51,11 +49,7 @@
 impl<M: PeerMessage, S: PeerSink<M>> HubState<M, S> {
     pub fn new(config: PeerConfig, tx: HubSender<M>, sink: S, address: SocketAddr) -> Self {
         let seeds = config.seeds.iter();
-        let targets = seeds.map(|&address| DialTarget {
-            vm: None,
-            address,
-            missing_since: None,
-        });
+        let targets = seeds.map(|&address| DialTarget::new(None, address));
         Self {
             targets: targets.collect(),
             config,
@@ -63,6 +57,7 @@
             sink,
             address,
             links: FastMap::default(),
+            wanted: None,
             dialing: FastSet::default(),
             own_addresses: FastSet::default(),
         }
@@ -105,7 +100,16 @@
                 // Sending fails if the connection has been dropped in the meantime.
                 let _ = accept.send(!self.is_alive(peer));
             }
-            HubEvent::Down { peer, number } => self.remove_link(peer, number),
+            HubEvent::Down { peer, number } => {
+                self.remove_link(peer, number);
+                self.redial_later(peer);
+            }
+            HubEvent::CloseLink { peer, number } => self.remove_link(peer, number),
+            HubEvent::WantedChanged(vms) => {
+                self.wanted = Some(vms.into_iter().collect());
+                self.dial_missing();
+            }
+            HubEvent::Redial(address) => self.dial(address),
             HubEvent::Message {
                 peer,
                 number,
@@ -123,9 +127,7 @@
                 message,
             } => self.send(to, number, &message),
             HubEvent::PeersChanged(peers) => self.set_peers(&peers),
-            HubEvent::DialEnded(address) => {
-                self.dialing.remove(&address);
-            }
+            HubEvent::DialEnded { address, outcome } => self.handle_dial_end(address, outcome),
             HubEvent::SelfDialed(address) => {
                 self.own_addresses.insert(address);
             }
@@ -141,9 +143,8 @@
 
     /// Returns whether a peer is connected and has sent a message recently.
     fn is_alive(&self, peer: Incarnation) -> bool {
-        let limit = self.config.link.idle_timeout / 2;
         let link = self.links.get(&peer);
-        link.is_some_and(|link| link.last_received.elapsed() < limit)
+        link.is_some_and(|link| link.last_received.elapsed() < self.config.alive_within)
     }
 
     /// Returns whether a connection was opened by the VM with the smaller identifier. If both VMs
@@ -196,45 +197,49 @@
         let me = self.config.link.me.vm;
         let listed: Vec<_> = peers.iter().filter(|peer| peer.vm != me).collect();
         let old_targets = std::mem::take(&mut self.targets);
-        let seeds = old_targets
-            .iter()
-            .filter(|target| target.vm.is_none())
-            .copied();
         self.targets = listed
             .iter()
             .map(|&&PeerAddress { vm, address }| {
-                let old_target = old_targets.iter().find(|target| target.address == address);
-                let missing_since = old_target.and_then(|target| target.missing_since);
-                DialTarget {
-                    vm: Some(vm),
-                    address,
-                    missing_since,
-                }
+                let known = old_targets.iter().find(|target| target.address == address);
+                known.map_or_else(
+                    || DialTarget::new(Some(vm), address),
+                    |known| known.with_vm(vm),
+                )
             })
             .collect();
+        let seeds = old_targets.into_iter().filter(|target| target.vm.is_none());
         let unlisted = seeds.filter(|seed| listed.iter().all(|peer| peer.address != seed.address));
         self.targets.extend(unlisted);
         self.dial_missing();
     }
 
-    /// Connects to all peers without a connection, except where the peer should connect first.
+    /// Connects to all wanted peers without a connection, except where the peer should connect
+    /// first.
     fn dial_missing(&mut self) {
         let me = self.config.link.me.vm;
         let connected_vms: FastSet<VmId> = self.links.keys().map(|peer| peer.vm).collect();
         let now = Instant::now();
         let mut due = Vec::new();
         for target in &mut self.targets {
-            let connected = match target.vm {
+            let is_wanted = match (target.vm, &self.wanted) {
+                (Some(vm), Some(wanted)) => wanted.contains(&vm),
+                _ => true,
+            };
+            let is_connected = match target.vm {
                 Some(vm) => connected_vms.contains(&vm),
                 None => !connected_vms.is_empty(),
             };
-            if connected {
-                target.missing_since = None;
+            if is_connected || !is_wanted {
+                target.reset();
                 continue;
             }
-            let missing_since = *target.missing_since.get_or_insert(now);
             let is_first_dialer = target.vm.is_none_or(|vm| me < vm);
-            if is_first_dialer || now.duration_since(missing_since) >= DIAL_DELAY {
+            let delay = if is_first_dialer {
+                Duration::ZERO
+            } else {
+                DIAL_DELAY
+            };
+            if target.is_due(now, delay) {
                 due.push(target.address);
             }
         }
@@ -243,8 +248,53 @@
         }
     }
 
+    /// Connects to a peer again after its connection was lost, if it is still wanted.
+    fn redial_later(&self, peer: Incarnation) {
+        let is_wanted = self.wanted.as_ref();
+        let is_wanted = is_wanted.is_none_or(|wanted| wanted.contains(&peer.vm));
+        let target = self
+            .targets
+            .iter()
+            .find(|target| target.vm == Some(peer.vm));
+        let Some(target) = target.filter(|_| is_wanted) else {
+            return;
+        };
+        let delay = if self.config.link.me.vm < peer.vm {
+            Duration::ZERO
+        } else {
+            REDIAL_DELAY
+        };
+        let (tx, address) = (self.tx.clone(), target.address);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            tx.send(HubEvent::Redial(address));
+        });
+    }
+
+    fn handle_dial_end(&mut self, address: SocketAddr, outcome: DialOutcome) {
+        self.dialing.remove(&address);
+        let mut targets = self.targets.iter_mut();
+        let Some(target) = targets.find(|target| target.address == address) else {
+            return;
+        };
+        target.record_attempt(Instant::now(), outcome == DialOutcome::Connected);
+        if let Some(vm) = target.vm.filter(|_| outcome == DialOutcome::Refused) {
+            self.sink.connection_refused(vm);
+        }
+    }
+
+    /// Returns whether the VM at an address is connected.
+    fn is_connected_to(&self, address: SocketAddr) -> bool {
+        let mut targets = self.targets.iter();
+        let target = targets.find(|target| target.address == address);
+        let vm = target.and_then(|target| target.vm);
+        vm.is_some_and(|vm| self.links.keys().any(|peer| peer.vm == vm))
+    }
+
     fn dial(&mut self, address: SocketAddr) {
+        let is_connected = self.is_connected_to(address);
         if address == self.address
+            || is_connected
             || self.own_addresses.contains(&address)
             || !self.dialing.insert(address)
         {
@@ -252,12 +302,21 @@
         }
         let (config, tx) = (self.config.link.clone(), self.tx.clone());
         tokio::spawn(async move {
-            match link::dial(config, address, tx.clone()).await {
-                Ok(()) => {}
-                Err(LinkError::SelfConnection) => tx.send(HubEvent::SelfDialed(address)),
-                Err(e) => tracing::debug!(%address, error = %e, "connecting to the peer failed"),
-            }
-            tx.send(HubEvent::DialEnded(address));
+            let outcome = match link::dial(config, address, tx.clone()).await {
+                Ok(()) => DialOutcome::Connected,
+                Err(e) => {
+                    tracing::debug!(%address, error = %e, "connecting to the peer failed");
+                    if matches!(e, LinkError::SelfConnection) {
+                        tx.send(HubEvent::SelfDialed(address));
+                    }
+                    if e.is_refused() {
+                        DialOutcome::Refused
+                    } else {
+                        DialOutcome::Failed
+                    }
+                }
+            };
+            tx.send(HubEvent::DialEnded { address, outcome });
         });
     }
 
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -65,6 +65,13 @@
     Duplicate,
 }
 
+impl LinkError {
+    /// Returns whether no process listens at the address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Socket(e) if e.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 type Socket = WebSocketStream<TcpStream>;
 
 fn socket_config() -> WebSocketConfig {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! protocol version, and the first frame of each side carries its incarnation. The size of frames
 //! is limited.
 
+mod dial_target;
 mod hello;
 mod hub;
 mod hub_event;
@@ -17,4 +18,5 @@
 pub use hub_event::PeerAddress;
 pub use peer_config::PeerConfig;
 pub use protocol::{PeerMessage, PeerSink};
+pub(crate) use wire::IncarnationWire;
 pub use wire::{WireError, decode, encode};
--- a/src/peers/peer_config.rs
+++ b/src/peers/peer_config.rs
@@ -12,6 +12,9 @@
     pub link: LinkConfig,
     /// Address to listen on; port 0 selects a free one.
     pub listen: SocketAddr,
+    /// Time without a message within which a connection counts as alive: another connection from
+    /// its peer is then rejected.
+    pub alive_within: Duration,
     /// Addresses to connect to as long as no peer is connected.
     pub seeds: Vec<SocketAddr>,
 }
@@ -20,7 +23,7 @@
     /// Creates a configuration. A connection is considered dead after `idle_timeout` without a
     /// received frame.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         me: Incarnation,
         secret: crate::settings::Secret,
         idle_timeout: Duration,
@@ -34,6 +37,7 @@
                 idle_timeout,
             },
             listen,
+            alive_within: idle_timeout / 2,
             seeds,
         }
     }
--- a/src/peers/protocol.rs
+++ b/src/peers/protocol.rs
@@ -3,6 +3,7 @@
 use super::wire::{WireError, decode, encode};
 use crate::input::InputSender;
 use cardamomslip_core::Event;
+use cardamomslip_core::model::ids::VmId;
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::message::Message;
 
@@ -28,6 +29,11 @@
     /// Called when the connection to a peer has ended or is being replaced.
     fn peer_down(&self, peer: Incarnation);
 
+    /// Called when a VM refuses a connection, since no process listens there.
+    fn connection_refused(&self, vm: VmId) {
+        let _ = vm;
+    }
+
     /// Called when a message from a peer is received.
     fn message_received(&self, from: Incarnation, message: M);
 }
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -2,13 +2,14 @@
 
 use cardamomslip::peers::PeerMessage;
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
-use cardamomslip_core::guarded::model::cell::{Cell, CellLoad};
+use cardamomslip_core::guarded::model::cell::{Cell, CellLoad, HolderLoad};
 use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId, WorkerId};
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
-use cardamomslip_core::guarded::model::message::{Heartbeat, Message};
+use cardamomslip_core::guarded::model::message::{Heartbeat, Message, RemoteHolder};
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
-use cardamomslip_core::model::ids::DataCentreId;
+use cardamomslip_core::model::ids::{DataCentreId, VmId};
+use cardamomslip_core::model::incarnation::Incarnation;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,23 @@
             mean_run: Duration::from_micros(200_001),
         }],
         still_held: vec![WorkerId(9)],
+        next_within: Duration::from_millis(360),
+        is_relay: true,
+        wants_link: false,
+        remote_holders: vec![RemoteHolder {
+            holder: Incarnation {
+                data_centre: DataCentreId(2),
+                vm: VmId(3),
+                nonce: u64::MAX,
+            },
+            load: HolderLoad {
+                capacity_milli: 32_000,
+                free_milli: 1,
+                waiting_milli: 2,
+                mean_run: Duration::from_micros(99),
+            },
+            age: Duration::from_micros(7),
+        }],
     })
 }
 
