Two levels of membership for the guarded dispatcher

Cause: with 147 VMs each one exchanged 1,216 heartbeats a second in and as many out, decoded 730 changed registrations of workers a second and walked 1,100 workers at each tick.

Change: the VMs of a data centre are ranked by size. The first three or more, its relays, hold its cells, follow the registry of the workers and connect to the relays of the other data centres. Three more follow the registry to replace them. All others connect to these six, and learn of holders elsewhere from the relays when capacity is scarce; a connection to one is opened when a job is to be placed there, and closed when it is not used. Heartbeats follow the jobs: 120 ms while a job connects two VMs and among the followers, less often otherwise, as each announces. A tick walks only the workers that a VM holds. The age of a configuration is passed on, so that the wait before asking for it does not add up.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -186,6 +186,7 @@
         "configuration adopted"
     );
     world.queues = Some(Arc::clone(&table));
+    world.queues_known_at = world.outdated_since.unwrap_or(cx.now);
     // Peers that can't reach the store learn of the version by the next heartbeat.
     world.heartbeat_due = true;
     cx.emit(Action::AdoptQueues(table));
@@ -245,10 +246,13 @@
 }
 
 fn handle_message(world: &mut World, cx: &mut Cx<'_>, from: Incarnation, message: Message) {
-    let Some(row) = world.peers.get_mut(&from) else {
+    // A message of a connection that has ended is dropped: its sender gives up what it sent there.
+    let row = world.peers.get_mut(&from);
+    let Some(row) = row.filter(|row| row.linked) else {
         return;
     };
     row.last_message_at = cx.now;
+    row.is_outdated = false;
     match message {
         Message::Heartbeat(heartbeat) => {
             systems::peers::handle_heartbeat(world, cx, from, heartbeat);
@@ -294,6 +298,9 @@
     world.may_claim_early = false;
     world.claims_paused_until = cx.now + CATCH_UP_TIME;
     world.directory.expect_all();
+    for row in world.peers.values_mut() {
+        row.is_outdated = true;
+    }
     world.claimed_cells.clear();
     let held = world.workers.values_mut();
     for row in held.filter(|row| matches!(row.hold, Hold::Held | Hold::Acquiring)) {
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entry VMs.
 
 use super::answer::Answer;
-use super::cell::{CellLoad, HolderLoad};
+use super::cell::{Cell, HolderLoad};
 use super::ids::{ClientJobId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
@@ -51,10 +51,14 @@
     pub leaving: bool,
     /// Version of its configuration; 0 for none.
     pub queues_version: u64,
+    /// Time since the first VM had that configuration, as far as the sender knows.
+    pub queues_age: Duration,
     /// Highest fencing token that it has seen.
     pub token: u64,
-    /// Cells that it claims, with their load; empty while it is stopping.
-    pub cells: Vec<CellLoad>,
+    /// Cells that it claims; empty while it is stopping.
+    pub cells: Vec<Cell>,
+    /// Load of all workers of these cells.
+    pub load: HolderLoad,
     /// Workers that it still holds although it no longer claims their cells.
     pub still_held: Vec<WorkerId>,
     /// Time within which the sender sends its next heartbeat to this receiver, unless a job
--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -7,8 +7,12 @@
 pub struct Policy {
     /// Interval of heartbeats between peers.
     pub heartbeat_interval: Duration,
-    /// Time without a message after which a peer counts as gone.
+    /// Time without a message after which the jobs that depend on a peer are given up.
     pub peer_timeout: Duration,
+    /// Time without a message after which a peer counts as gone and others may take its cells. A
+    /// heartbeat interval longer than `peer_timeout`, since the last heartbeat before a stall may
+    /// have been that long ago.
+    pub peer_gone_after: Duration,
     /// Time without a message after which a peer gets no new jobs.
     pub peer_suspect_after: Duration,
     /// Lease that each poll and start requests.
@@ -38,6 +42,7 @@
         Self {
             heartbeat_interval: Duration::from_millis(120),
             peer_timeout: Duration::from_millis(400),
+            peer_gone_after: Duration::from_millis(520),
             peer_suspect_after: Duration::from_millis(260),
             lease: Duration::from_millis(800),
             poll_wait: Duration::from_millis(250),
--- a/crates/core/src/guarded/systems/cell_assignment.rs
+++ b/crates/core/src/guarded/systems/cell_assignment.rs
@@ -5,7 +5,7 @@
 
 use super::{holds, topology};
 use crate::collections::FastMap;
-use crate::guarded::model::cell::{Cell, CellLoad, HolderLoad};
+use crate::guarded::model::cell::{Cell, HolderLoad};
 use crate::guarded::model::vm::mix;
 use crate::guarded::model::worker::WorkerEntry;
 use crate::guarded::tables::peer::Peer;
@@ -25,37 +25,29 @@
     world.claimed_cells.iter().any(|cell| cell.contains(entry))
 }
 
-/// Returns the load of the cells that this VM claims. Workers that are being acquired count towards
-/// the capacity, since they are usable shortly.
-pub fn cell_loads(world: &World, now: Time) -> Vec<CellLoad> {
-    let waiting_milli = waiting_milli(world);
-    let cells = world.claimed_cells.iter().map(|&cell| {
-        let mut load = CellLoad {
-            cell,
-            capacity_milli: 0,
-            free_milli: 0,
-            waiting_milli,
-            mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
-        };
-        let stale_after = world.policy.worker_stale_after * 2;
-        let rows = world.workers.values();
-        for row in rows.filter(|row| cell.contains(&row.entry)) {
-            if row.is_usable(now, stale_after) {
-                load.capacity_milli += row.entry.capacity.cpu_milli;
-                load.free_milli += row.free().cpu_milli;
-            } else if row.is_usable_soon(now) {
-                load.capacity_milli += row.entry.capacity.cpu_milli;
-            }
-        }
-        load
-    });
-    cells.collect()
-}
-
-/// Returns the load of all workers that this VM holds; `None` if it claims no cell.
+/// Returns the load of the workers of the claimed cells; `None` if this VM claims no cell. Workers
+/// that are being acquired count towards the capacity, since they are usable shortly.
 pub fn own_load(world: &World, now: Time) -> Option<HolderLoad> {
-    let cells = cell_loads(world, now);
-    (!cells.is_empty()).then(|| HolderLoad::of_cells(&cells))
+    if world.claimed_cells.is_empty() {
+        return None;
+    }
+    let mut load = HolderLoad {
+        capacity_milli: 0,
+        free_milli: 0,
+        waiting_milli: waiting_milli(world),
+        mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
+    };
+    let stale_after = world.policy.worker_stale_after * 2;
+    let rows = world.workers.values();
+    for row in rows.filter(|row| is_claimed(world, &row.entry)) {
+        if row.is_usable(now, stale_after) {
+            load.capacity_milli += row.entry.capacity.cpu_milli;
+            load.free_milli += row.free().cpu_milli;
+        } else if row.is_usable_soon(now) {
+            load.capacity_milli += row.entry.capacity.cpu_milli;
+        }
+    }
+    Some(load)
 }
 
 /// Returns the CPU that waiting tasks need, in thousandths of a core.
@@ -79,14 +71,29 @@
             leaving = !world.is_serving(),
             "the cells of this VM have changed"
         );
+        world.contested_cells.retain(|cell| mine.contains(cell));
         world.claimed_cells = mine;
         world.heartbeat_due = true;
         world.topology.is_outdated = true;
         holds::add_rows(world);
     }
+    update_contested_cells(world, cx);
     holds::run(world, cx);
 }
 
+/// Notes which claimed cells a peer claims as well. When the peer gives such a cell up, the workers
+/// that it acquired meanwhile can be acquired again without the usual delay.
+fn update_contested_cells(world: &mut World, cx: &Cx<'_>) {
+    let is_contested = |cell: &&Cell| world.peers.values().any(|row| row.claims(cell));
+    let contested = world.claimed_cells.iter().filter(is_contested);
+    let contested: BTreeSet<Cell> = contested.copied().collect();
+    for cell in world.contested_cells.difference(&contested) {
+        tracing::info!(?cell, "a peer has given up a cell that both claimed");
+        holds::end_delays(&mut world.workers, cx.now, cell);
+    }
+    world.contested_cells = contested;
+}
+
 /// Returns whether this VM has been up for long enough to know the present holders. The delay ends
 /// early once every VM that this VM connects to has sent a heartbeat.
 fn may_change_claims(world: &mut World, now: Time) -> bool {
@@ -168,7 +175,8 @@
     if !world.is_serving() || !world.topology.is_relay {
         return BTreeSet::new();
     }
-    let candidates = candidates(world, now);
+    let mut candidates = candidates(world, now);
+    exclude_small_vms(world, &mut candidates);
     let mut counts = count_claims(world, &candidates);
     let mut mine = BTreeSet::new();
     for data_centre in world.registry.data_centres().collect::<BTreeSet<_>>() {
@@ -186,6 +194,20 @@
     mine
 }
 
+/// Removes the VMs of this data centre that are far smaller than its largest one, if the others can
+/// hold all of its cells.
+fn exclude_small_vms(world: &World, candidates: &mut Vec<Candidate>) {
+    let data_centre = world.me.data_centre;
+    let is_local = |vm: &&Candidate| vm.id.data_centre == data_centre;
+    let largest = candidates.iter().filter(is_local).map(|vm| vm.weight).max();
+    let is_large = |vm: &Candidate| vm.weight * 2 >= largest.unwrap_or(0);
+    let large = candidates.iter().filter(is_local).filter(|vm| is_large(vm));
+    let room: u32 = large.map(|vm| topology::max_cells(vm.weight)).sum();
+    if room >= u32::from(world.registry.cell_count(data_centre)) {
+        candidates.retain(|vm| vm.id.data_centre != data_centre || is_large(vm));
+    }
+}
+
 /// Returns the VM that should hold a cell of this data centre.
 fn choose_local_holder(
     world: &World,
@@ -195,8 +217,7 @@
 ) -> Option<Incarnation> {
     let is_local = |vm: &&Candidate| vm.id.data_centre == cell.data_centre;
     let local = || candidates.iter().filter(is_local);
-    let largest = local().map(|vm| vm.weight).max().unwrap_or(0);
-    let keeps = |vm: &&Candidate| vm.weight * 2 >= largest && claims_cell(world, vm.id, cell);
+    let keeps = |vm: &&Candidate| claims_cell(world, vm.id, cell);
     let relays = || local().filter(|vm| vm.is_relay);
     let is_established = relays().any(|vm| vm.uptime >= MIN_UPTIME_TO_RECLAIM);
     highest_scored(cell, local().filter(keeps))
--- a/crates/core/src/guarded/systems/holds.rs
+++ b/crates/core/src/guarded/systems/holds.rs
@@ -1,9 +1,12 @@
 //! Acquisition and release of the workers of claimed cells.
 
 use super::cell_assignment::is_claimed;
+use crate::guarded::model::cell::Cell;
 use crate::guarded::model::ids::WorkerId;
 use crate::guarded::tables::worker::{Hold, Worker};
 use crate::guarded::world::{Cx, Phase, World};
+use crate::model::time::Time;
+use std::collections::BTreeMap;
 
 /// Releases the workers of cells that this VM no longer claims, and acquires those of the cells
 /// that it claims.
@@ -25,6 +28,16 @@
     }
 }
 
+/// Ends the delays before the workers of a cell that another VM acquired are acquired again.
+pub fn end_delays(workers: &mut BTreeMap<WorkerId, Worker>, now: Time, cell: &Cell) {
+    for row in workers.values_mut().filter(|row| cell.contains(&row.entry)) {
+        if matches!(row.hold, Hold::Fenced(_)) {
+            row.hold = Hold::Fenced(now);
+            row.times_fenced = 0;
+        }
+    }
+}
+
 /// Adds the row of a registered worker.
 pub fn add_row(world: &mut World, id: WorkerId) {
     if let Some(registered) = world.registry.get(id) {
--- a/crates/core/src/guarded/systems/peers.rs
+++ b/crates/core/src/guarded/systems/peers.rs
@@ -28,10 +28,11 @@
 /// Number of peers to which a relay reports its load within one round. With more peers it reports
 /// less often.
 const REPORTS_PER_ROUND: usize = 12;
-/// Maximum number of rounds between two reports of a relay to a peer.
-const MAX_REPORT_ROUNDS: u64 = 4;
 /// Number of rounds between heartbeats to peers that nothing depends on.
 const IDLE_ROUNDS: u64 = 8;
+/// The free capacity of a data centre counts as scarce below one part in this many. Its VMs then
+/// need to know the holders elsewhere.
+const SCARCE_PART: u64 = 4;
 /// Age from which the reported load of a holder in another data centre is not used.
 const REMOTE_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -84,38 +85,46 @@
     }
 }
 
-/// Removes peers that have been silent for their limit, and closes their connections. Does nothing
-/// shortly after a stall of this process, while their messages may be unread.
+/// Closes the connections to silent peers that jobs depend on, and removes peers that have been
+/// silent for their limit. Does nothing shortly after a stall of this process, while their messages
+/// may be unread.
 pub fn remove_silent(world: &mut World, cx: &mut Cx<'_>) {
     if cx.now < world.claims_paused_until {
         return;
     }
+    let policy = world.policy;
     let rows = world.peers.iter();
-    let silent = rows.filter(|(_, row)| row.is_gone(cx.now, &world.policy));
+    let silent = rows.filter(|(_, row)| {
+        row.is_gone(cx.now, &policy) || row.linked && row.has_timed_out(cx.now, &policy)
+    });
     let silent: Vec<Incarnation> = silent.map(|(&peer, _)| peer).collect();
     for peer in silent {
-        remove_peer(world, cx, peer);
+        handle_silence(world, cx, peer);
     }
 }
 
-fn remove_peer(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
+fn handle_silence(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
     let Some(row) = world.peers.get(&peer) else {
         return;
     };
+    let is_gone = row.is_gone(cx.now, &world.policy);
     tracing::info!(
         %peer,
+        is_gone,
         silent_ms = row.silence(cx.now).as_millis(),
         has_jobs = row.jobs_since.is_some(),
         linked = row.linked,
-        "peer is silent and counts as gone"
+        "peer is silent"
     );
     if row.linked {
         handle_disconnect(world, cx, peer);
         cx.emit(Action::Disconnect(peer));
     }
-    world.peers.remove(&peer);
-    world.directory.mark_unreachable(peer.vm);
-    world.topology.is_outdated = true;
+    if is_gone {
+        world.peers.remove(&peer);
+        world.directory.mark_unreachable(peer.vm);
+        world.topology.is_outdated = true;
+    }
 }
 
 /// Records a peer's heartbeat.
@@ -174,35 +183,58 @@
 }
 
 /// Asks one peer for its configuration if this VM's own has been outdated for a while. Most VMs get
-/// the configuration from the store; only those that can't reach it have to ask.
+/// the configuration from the store; only those that can't reach it have to ask. The time counts
+/// from when the first VM had the configuration, so that it does not add up along relays.
 pub fn request_configuration(world: &mut World, cx: &mut Cx<'_>) {
     let version = world.queues_version();
-    let ahead = newest_configuration(world).filter(|&(_, newest)| newest > version);
-    let Some((peer, newest)) = ahead else {
+    let Some(newest) = newest_configuration(world).filter(|newest| newest.version > version) else {
         world.outdated_since = None;
+        world.queues_requested_at = None;
         return;
     };
-    let since = *world.outdated_since.get_or_insert(cx.now);
-    if cx.now.since(since) < CONFIGURATION_REQUEST_INTERVAL {
+    let since = *world.outdated_since.get_or_insert(newest.known_at);
+    let requested_at = world.queues_requested_at.unwrap_or(since);
+    if cx.now.since(since.max(requested_at)) < CONFIGURATION_REQUEST_INTERVAL {
         return;
     }
-    tracing::info!(version, newest, peer = %peer.vm, "asking a peer for the configuration");
-    world.outdated_since = Some(cx.now);
+    tracing::info!(
+        version,
+        newest = newest.version,
+        peer = %newest.peer.vm,
+        known_for_ms = cx.now.since(newest.known_at).as_millis(),
+        "asking a peer for the configuration"
+    );
+    world.queues_requested_at = Some(cx.now);
     cx.emit(Action::Send {
-        to: peer,
+        to: newest.peer,
         message: Message::RequestQueues { version },
     });
 }
 
-/// Returns a connected peer with the newest configuration, preferring peers of the same data
-/// centre.
-fn newest_configuration(world: &World) -> Option<(Incarnation, u64)> {
+/// The configuration of a peer.
+#[derive(Clone, Copy, Debug)]
+struct PeerConfiguration {
+    peer: Incarnation,
+    version: u64,
+    /// Time at which the first VM had it.
+    known_at: Time,
+}
+
+/// Returns the newest configuration of a connected peer, preferring peers of the same data centre.
+fn newest_configuration(world: &World) -> Option<PeerConfiguration> {
     let linked = world.peers.iter().filter(|(_, row)| row.linked);
     let peers = linked.filter_map(|(&peer, row)| {
         let heartbeat = row.heartbeat.as_ref()?;
-        Some((peer, heartbeat.queues_version))
+        Some(PeerConfiguration {
+            peer,
+            version: heartbeat.queues_version,
+            known_at: row.heartbeat_at.minus(heartbeat.queues_age),
+        })
     });
-    peers.max_by_key(|&(peer, version)| (version, peer.data_centre == world.me.data_centre))
+    peers.max_by_key(|configuration| {
+        let is_local = configuration.peer.data_centre == world.me.data_centre;
+        (configuration.version, is_local)
+    })
 }
 
 /// Sends the configuration to a peer that has an older version.
@@ -297,8 +329,8 @@
     let linked = world.peers.values().filter(|row| row.linked).count();
     let rounds = linked.div_ceil(REPORTS_PER_ROUND);
     u64::try_from(rounds)
-        .unwrap_or(MAX_REPORT_ROUNDS)
-        .clamp(1, MAX_REPORT_ROUNDS)
+        .unwrap_or(IDLE_ROUNDS)
+        .clamp(1, IDLE_ROUNDS)
 }
 
 /// Returns the number of rounds until the next heartbeat to a peer.
@@ -323,6 +355,9 @@
     let Some(position) = relays.iter().position(|&vm| vm == world.me.vm) else {
         return Vec::new();
     };
+    if !is_local_capacity_scarce(world, now) {
+        return Vec::new();
+    }
     let holders = world.peers.iter().filter(|(peer, row)| {
         peer.data_centre != world.me.data_centre
             && row.linked
@@ -343,6 +378,21 @@
     holders.into_iter().filter(is_mine).collect()
 }
 
+/// Returns whether the holders of this data centre have little free capacity, or there are none.
+fn is_local_capacity_scarce(world: &World, now: Time) -> bool {
+    let peers = world.peers.iter();
+    let local = peers.filter(|(peer, row)| {
+        let is_local = peer.data_centre == world.me.data_centre;
+        is_local && row.linked && !row.is_suspect(now, &world.policy)
+    });
+    let loads = local.filter_map(|(_, row)| row.load());
+    let loads = loads.chain(cell_assignment::own_load(world, now));
+    let (spare, capacity) = loads.fold((0, 0), |(spare, capacity), load| {
+        (spare + load.spare_milli(0), capacity + load.capacity_milli)
+    });
+    spare * SCARCE_PART <= capacity
+}
+
 fn build_heartbeat(world: &World, cx: &Cx<'_>) -> Heartbeat {
     let leaving = !world.is_serving();
     let held = world.workers.values();
@@ -350,17 +400,15 @@
         let holds = matches!(row.hold, Hold::Held | Hold::Acquiring);
         holds && (leaving || !cell_assignment::is_claimed(world, &row.entry))
     });
-    let cells = if leaving {
-        Vec::new()
-    } else {
-        cell_assignment::cell_loads(world, cx.now)
-    };
+    let cells = world.claimed_cells.iter().filter(|_| !leaving);
     Heartbeat {
         weight: world.weight,
         leaving,
         queues_version: world.queues_version(),
+        queues_age: cx.now.since(world.queues_known_at),
         token: world.token.0,
-        cells,
+        cells: cells.copied().collect(),
+        load: cell_assignment::own_load(world, cx.now).unwrap_or_default(),
         still_held: still_held.map(|row| row.entry.id).collect(),
         next_within: Duration::ZERO,
         is_relay: world.topology.is_relay,
--- a/crates/core/src/guarded/systems/placement.rs
+++ b/crates/core/src/guarded/systems/placement.rs
@@ -212,7 +212,7 @@
 
 fn claims_local_cell(world: &World, row: &Peer) -> bool {
     let cells = row.heartbeat.iter().flat_map(|heartbeat| &heartbeat.cells);
-    let mut cells = cells.map(|load| load.cell.data_centre);
+    let mut cells = cells.map(|cell| cell.data_centre);
     cells.any(|data_centre| data_centre == world.me.data_centre)
 }
 
--- a/crates/core/src/guarded/systems/topology.rs
+++ b/crates/core/src/guarded/systems/topology.rs
@@ -22,7 +22,7 @@
 /// Minimum number of relays of a data centre.
 const MIN_RELAYS: usize = 3;
 /// Number of further VMs that follow the registry of the workers.
-const STANDBYS: usize = 2;
+const STANDBYS: usize = 3;
 /// VM size, in hundredths of a CPU, that one cell takes at most. A larger VM holds more cells.
 const WEIGHT_PER_CELL: u32 = 6;
 /// Interval between updates when nothing has changed.
@@ -97,8 +97,8 @@
         .values()
         .filter_map(|row| row.heartbeat.as_ref());
     let reported = reported.flat_map(|heartbeat| &heartbeat.cells);
-    let reported = reported.filter(|load| load.cell.data_centre == data_centre);
-    let reported = reported.map(|load| load.cell.cell_count).max();
+    let reported = reported.filter(|cell| cell.data_centre == data_centre);
+    let reported = reported.map(|cell| cell.cell_count).max();
     match world.registry.cell_count(data_centre) {
         0 => reported.unwrap_or(0),
         count => count,
--- a/crates/core/src/guarded/tables/peer.rs
+++ b/crates/core/src/guarded/tables/peer.rs
@@ -26,6 +26,8 @@
     pub heartbeat_at: Time,
     /// Time of its last message.
     pub last_message_at: Time,
+    /// Whether this VM has stalled since then, so that its knowledge of the peer is of before.
+    pub is_outdated: bool,
     /// CPU of the tasks that this VM placed there since the peer's last heartbeat, in thousandths
     /// of a core. The load in the heartbeat does not include them yet.
     pub placed_cpu_milli: u64,
@@ -47,6 +49,7 @@
             heartbeat: None,
             heartbeat_at: now,
             last_message_at: now,
+            is_outdated: false,
             placed_cpu_milli: 0,
             jobs_since: None,
             next_heartbeat_round: 0,
@@ -77,7 +80,7 @@
     /// Returns whether the peer claims a cell.
     pub fn claims(&self, cell: &Cell) -> bool {
         let heartbeat = self.heartbeat.as_ref();
-        heartbeat.is_some_and(|heartbeat| heartbeat.cells.iter().any(|load| load.cell == *cell))
+        heartbeat.is_some_and(|heartbeat| heartbeat.cells.contains(cell))
     }
 
     /// Returns whether the peer still holds a worker of a cell that it no longer claims.
@@ -89,7 +92,7 @@
     /// Returns the load of the peer's cells; `None` if it has none.
     pub fn load(&self) -> Option<HolderLoad> {
         let heartbeat = self.heartbeat.as_ref()?;
-        (!heartbeat.cells.is_empty()).then(|| HolderLoad::of_cells(&heartbeat.cells))
+        (!heartbeat.cells.is_empty()).then_some(heartbeat.load)
     }
 
     /// Returns the time without a message.
@@ -102,15 +105,20 @@
 
     /// Returns whether the peer has been silent for so long that it counts as gone.
     pub fn is_gone(&self, now: Time, policy: &Policy) -> bool {
-        self.silence(now) >= policy.peer_timeout.mul_f64(self.interval_factor(policy))
+        self.silence(now) >= policy.peer_gone_after.mul_f64(self.interval_factor(policy))
     }
 
-    /// Returns whether the peer has been silent for so long that it gets no new jobs.
+    /// Returns whether jobs depend on the peer and it has been silent for so long that they must be
+    /// given up.
+    pub fn has_timed_out(&self, now: Time, policy: &Policy) -> bool {
+        self.jobs_since.is_some() && self.silence(now) >= policy.peer_timeout
+    }
+
+    /// Returns whether the peer has been silent for so long, or may have been during a stall of this
+    /// VM, that it gets no new jobs.
     pub fn is_suspect(&self, now: Time, policy: &Policy) -> bool {
-        self.silence(now)
-            >= policy
-                .peer_suspect_after
-                .mul_f64(self.interval_factor(policy))
+        let limit = policy.peer_suspect_after;
+        self.is_outdated || self.silence(now) >= limit.mul_f64(self.interval_factor(policy))
     }
 
     /// Returns the present interval of the peer's heartbeats as a factor on the shortest one.
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -77,8 +77,12 @@
     pub timers: TimerQueue<Timer>,
     pub stats: Stats,
     pub queues: Option<Arc<QueueTable>>,
-    /// Time since which a peer has a newer configuration, or time of the last request for it.
+    /// Time at which the first VM, as far as is known, had the configuration.
+    pub queues_known_at: Time,
+    /// Time at which the first VM had a newer configuration, if a peer has one.
     pub outdated_since: Option<Time>,
+    /// Time of the last request for it.
+    pub queues_requested_at: Option<Time>,
     /// Workers that the store lists.
     pub registry: WorkerRegistry,
     /// Workers of the claimed cells, and others whose runs are not known to have ended.
@@ -99,6 +103,8 @@
     pub may_claim_early: bool,
     /// Cells whose workers this VM acquires and uses.
     pub claimed_cells: BTreeSet<Cell>,
+    /// Claimed cells that a peer claims as well.
+    pub contested_cells: BTreeSet<Cell>,
     /// Highest fencing token seen.
     pub token: FencingToken,
     /// Jobs whose clients called this VM.
@@ -143,7 +149,9 @@
             timers: TimerQueue::default(),
             stats: Stats::default(),
             queues: None,
+            queues_known_at: Time::ZERO,
             outdated_since: None,
+            queues_requested_at: None,
             registry: WorkerRegistry::default(),
             workers: BTreeMap::new(),
             directory: VmDirectory::default(),
@@ -155,6 +163,7 @@
             claims_allowed_at: Time::ZERO + policy.claim_delay,
             may_claim_early: true,
             claimed_cells: BTreeSet::new(),
+            contested_cells: BTreeSet::new(),
             token: FencingToken(0),
             entries: FastMap::default(),
             calls: FastMap::default(),
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -16,5 +16,6 @@
 mod loads;
 mod oracle;
 mod recovery;
+mod scale;
 mod sim;
 mod worker;
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -280,6 +280,20 @@
         Op::Cut { a: 2, b: 3, both: false },
     ];
 
+    /// A frozen VM received a job over a connection that its entry had closed meanwhile. It ran the
+    /// job when its client had submitted it again elsewhere.
+    a_job_of_a_closed_connection_is_dropped(6_688_693_217_172_928_689) => [
+        Op::Submit { vm: 1, tasks: 2, work_ms: 493 },
+        Op::Submit { vm: 0, tasks: 2, work_ms: 44 },
+        Op::Suspend { vm: 2, ms: 3121 },
+        Op::Advance(1),
+        Op::Suspend { vm: 3, ms: 3502 },
+        Op::Advance(519),
+        Op::Suspend { vm: 1, ms: 3506 },
+        Op::Submit { vm: 1, tasks: 1, work_ms: 20 },
+        Op::Heal,
+    ];
+
     /// A start request that is delayed by seconds reaches a new boot of its worker, which starts
     /// the task while it runs on another worker.
     #[ignore = "known failure, see KNOWN-RED.txt"]
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -208,6 +208,19 @@
         self.stats().map(|stats| stats.held_workers).sum()
     }
 
+    /// Returns the VMs that hold workers.
+    pub fn holders(&self) -> Vec<usize> {
+        let vms = 0..self.vms.len();
+        vms.filter(|&vm| self.stats_of(vm).held_workers > 0)
+            .collect()
+    }
+
+    /// Returns the statistics of a VM; zeros if it is down.
+    pub fn stats_of(&self, vm: usize) -> Stats {
+        let dispatcher = self.vms[vm].dispatcher.as_ref();
+        dispatcher.map_or_else(Stats::default, Dispatcher::stats)
+    }
+
     fn stats(&self) -> impl Iterator<Item = Stats> {
         let dispatchers = self.vms.iter().filter_map(|vm| vm.dispatcher.as_ref());
         dispatchers.map(Dispatcher::stats)
--- a/crates/test/tests/processes/relay.rs
+++ b/crates/test/tests/processes/relay.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns the number of connections that were forwarded so far.
+    pub fn connection_count(&self) -> u64 {
+        self.shared.next_number.load(Ordering::SeqCst)
+    }
+
     /// Stops forwarding data on the open connections without closing them.
     pub fn blackhole(&self) {
         let next_number = self.shared.next_number.load(Ordering::SeqCst);
--- a/src/guarded/wire.rs
+++ b/src/guarded/wire.rs
@@ -5,7 +5,7 @@
 
 use crate::peers::{IncarnationWire, PeerMessage, WireError};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
-use cardamomslip_core::guarded::model::cell::{Cell, CellLoad, HolderLoad};
+use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
 use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId, WorkerId};
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
 use cardamomslip_core::guarded::model::message::{Heartbeat, Message, RemoteHolder};
@@ -54,15 +54,17 @@
     Queues(u64, u64, Vec<QueueWire>),
 }
 
-/// `weight`, `leaving`, `queues_version`, `token`, `cells`, `still_held`, `next_within`, `is_relay`,
-/// `wants_link`, `remote_holders`.
+/// `weight`, `leaving`, `queues_version`, `queues_age`, `token`, `cells`, `load`, `still_held`,
+/// `next_within`, `is_relay`, `wants_link`, `remote_holders`.
 #[derive(Debug, Serialize, Deserialize)]
 struct HeartbeatWire(
     u32,
     bool,
     u64,
     u64,
-    Vec<CellLoadWire>,
+    u64,
+    Vec<CellWire>,
+    HolderLoadWire,
     Vec<u64>,
     u64,
     bool,
@@ -70,17 +72,17 @@
     Vec<RemoteHolderWire>,
 );
 
-/// `holder`, `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`, `age`.
+/// `holder`, `load`, `age`.
 #[derive(Debug, Serialize, Deserialize)]
-struct RemoteHolderWire(IncarnationWire, u64, u64, u64, u64, u64);
+struct RemoteHolderWire(IncarnationWire, HolderLoadWire, u64);
 
 /// `data_centre`, `cell_count`, `index`.
 #[derive(Debug, Serialize, Deserialize)]
 struct CellWire(u64, u16, u16);
 
-/// `cell`, `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`.
+/// `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`.
 #[derive(Debug, Serialize, Deserialize)]
-struct CellLoadWire(CellWire, u64, u64, u64, u64);
+struct HolderLoadWire(u64, u64, u64, u64);
 
 /// `id`, `settings`, `payload`, `steps`, `client_timeout`.
 #[derive(Debug, Serialize, Deserialize)]
@@ -191,8 +193,15 @@
             heartbeat.weight,
             heartbeat.leaving,
             heartbeat.queues_version,
+            micros(heartbeat.queues_age),
             heartbeat.token,
-            heartbeat.cells.iter().map(CellLoadWire::from).collect(),
+            heartbeat
+                .cells
+                .iter()
+                .copied()
+                .map(CellWire::from)
+                .collect(),
+            heartbeat.load.into(),
             heartbeat.still_held.iter().map(|worker| worker.0).collect(),
             micros(heartbeat.next_within),
             heartbeat.is_relay,
@@ -210,21 +219,25 @@
             weight,
             leaving,
             queues_version,
+            queues_age,
             token,
             cells,
+            load,
             still_held,
             next_within,
             is_relay,
             wants_link,
             remote_holders,
         ) = wire;
-        let cells = cells.into_iter().map(CellLoad::try_from);
+        let cells = cells.into_iter().map(Cell::try_from);
         Ok(Self {
             weight,
             leaving,
             queues_version,
+            queues_age: Duration::from_micros(queues_age),
             token,
             cells: cells.collect::<Result<_, _>>()?,
+            load: load.into(),
             still_held: still_held.into_iter().map(WorkerId).collect(),
             next_within: Duration::from_micros(next_within),
             is_relay,
@@ -236,28 +249,16 @@
 
 impl From<&RemoteHolder> for RemoteHolderWire {
     fn from(remote: &RemoteHolder) -> Self {
-        Self(
-            remote.holder.into(),
-            remote.load.capacity_milli,
-            remote.load.free_milli,
-            remote.load.waiting_milli,
-            micros(remote.load.mean_run),
-            micros(remote.age),
-        )
+        Self(remote.holder.into(), remote.load.into(), micros(remote.age))
     }
 }
 
 impl From<RemoteHolderWire> for RemoteHolder {
     fn from(wire: RemoteHolderWire) -> Self {
-        let RemoteHolderWire(holder, capacity, free, waiting, mean_run, age) = wire;
+        let RemoteHolderWire(holder, load, age) = wire;
         Self {
             holder: holder.into(),
-            load: HolderLoad {
-                capacity_milli: capacity,
-                free_milli: free,
-                waiting_milli: waiting,
-                mean_run: Duration::from_micros(mean_run),
-            },
+            load: load.into(),
             age: Duration::from_micros(age),
         }
     }
@@ -286,10 +287,9 @@
     }
 }
 
-impl From<&CellLoad> for CellLoadWire {
-    fn from(load: &CellLoad) -> Self {
+impl From<HolderLoad> for HolderLoadWire {
+    fn from(load: HolderLoad) -> Self {
         Self(
-            load.cell.into(),
             load.capacity_milli,
             load.free_milli,
             load.waiting_milli,
@@ -298,19 +298,14 @@
     }
 }
 
-impl TryFrom<CellLoadWire> for CellLoad {
-    type Error = WireError;
-
-    fn try_from(
-        CellLoadWire(cell, capacity, free, waiting, mean_run): CellLoadWire,
-    ) -> Result<Self, WireError> {
-        Ok(Self {
-            cell: cell.try_into()?,
+impl From<HolderLoadWire> for HolderLoad {
+    fn from(HolderLoadWire(capacity, free, waiting, mean_run): HolderLoadWire) -> Self {
+        Self {
             capacity_milli: capacity,
             free_milli: free,
             waiting_milli: waiting,
             mean_run: Duration::from_micros(mean_run),
-        })
+        }
     }
 }
 
