--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -97,7 +97,7 @@
         while let Some(timer) = world.timers.pop_due(now) {
             match timer {
                 Timer::Heartbeat => {
-                    systems::peers::begin_round(world, cx);
+                    world.round_due = true;
                     let next = now + world.policy.heartbeat_interval;
                     world.timers.schedule(next, Timer::Heartbeat);
                 }
@@ -116,6 +116,8 @@
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
+        // After the dispatch, so that the reported load includes it.
+        systems::peers::begin_round_if_due(world, cx);
         systems::peers::broadcast_if_due(world, cx);
         close_if_done(world, cx);
     }
--- a/crates/core/src/guarded/systems/peers.rs
+++ b/crates/core/src/guarded/systems/peers.rs
@@ -249,9 +249,12 @@
     }
 }
 
-/// Begins a heartbeat round: notes which peers have jobs with this VM, and sends the heartbeats
-/// that are due.
-pub fn begin_round(world: &mut World, cx: &mut Cx<'_>) {
+/// Begins a heartbeat round if its time has come: notes which peers have jobs with this VM, and
+/// sends the heartbeats that are due.
+pub fn begin_round_if_due(world: &mut World, cx: &mut Cx<'_>) {
+    if !std::mem::take(&mut world.round_due) {
+        return;
+    }
     world.heartbeat_round += 1;
     update_job_links(world, cx.now);
     let round = world.heartbeat_round;
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -124,6 +124,8 @@
     pub finished_jobs: Vec<FinishedJob>,
     /// Stops that `systems::stops` sends.
     pub stops: Vec<(WorkerId, RunId)>,
+    /// Whether the next tick begins a heartbeat round.
+    pub round_due: bool,
     /// Number of the current heartbeat round.
     pub heartbeat_round: u64,
     /// Whether heartbeats are to be sent to all peers without waiting for their rounds.
@@ -176,6 +178,7 @@
             finished_runs: Vec::new(),
             finished_jobs: Vec::new(),
             stops: Vec::new(),
+            round_due: false,
             heartbeat_round: 0,
             heartbeat_due: false,
             last_broadcast_at: Time::ZERO,
