--- a/crates/core/src/guarded/systems/placement.rs
+++ b/crates/core/src/guarded/systems/placement.rs
@@ -141,7 +141,7 @@
 
 /// Returns the runners with the shortest expected wait. One in another data centre must be better
 /// by a margin. Among runners that can start the job at once, jobs are spread in proportion to the
-/// free capacity: reported loads are up to some hundred milliseconds old.
+/// capacity that they leave free: reported loads are up to some hundred milliseconds old.
 pub fn choose_runner(world: &World, now: Time, job: &Job) -> Choices {
     let need = initial_cpu_milli(job);
     let rate =
@@ -154,7 +154,7 @@
             };
             let hash = mix(job.id.0 ^ mix(runner.vm.0));
             #[allow(clippy::cast_precision_loss, reason = "a weight")]
-            let spare = load.spare_milli(placed) as f64;
+            let spare = load.spare_milli(placed + need) as f64;
             Choice {
                 runner,
                 wait,
--- a/src/peers/dial_target.rs
+++ b/src/peers/dial_target.rs
@@ -6,8 +6,9 @@
 
 /// Delay before the second attempt to connect; it doubles with each further one.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(90);
-/// Maximum delay between two attempts.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Maximum delay between two attempts. With the time limit of an attempt it is below the time for
+/// which unreachable workers are left alone once a partition has healed.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(180);
 /// Maximum number of doublings of the delay.
 const MAX_DOUBLINGS: u32 = 6;
 
