--- a/crates/bench/src/load_bench.rs
+++ b/crates/bench/src/load_bench.rs
@@ -3,11 +3,12 @@
 use crate::proc_stat::ProcStat;
 use cardamomslip_cli::client::Client;
 use cardamomslip_test::cluster::{OPERATOR_TOKEN, first_configuration, token_hash, wait_until};
+use cardamomslip_test::ports::free_addresses;
 use cardamomslip_test::{Customer, ExecutorConfig, ExecutorStandIn, PlatformStandIn};
 use eyre::{Result, WrapErr, ensure, eyre};
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -127,19 +128,14 @@
     })
 }
 
-fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
 fn start_daemons(
     count: usize,
     platform: &PlatformStandIn,
     executors: &[ExecutorStandIn],
 ) -> Result<Vec<Vm>> {
-    let addresses: Result<Vec<_>> = (0..count)
-        .map(|_| Ok((free_address()?, free_address()?)))
-        .collect();
-    let addresses = addresses?;
+    let addresses = free_addresses(Ipv4Addr::LOCALHOST, 2 * count)?;
+    let pairs = addresses.chunks_exact(2).map(|pair| (pair[0], pair[1]));
+    let addresses: Vec<_> = pairs.collect();
     let entries: Vec<_> = addresses
         .iter()
         .enumerate()
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -14,10 +14,22 @@
 const SHARDS: u32 = 6;
 /// Exclusive upper bound of the number of operations per case.
 const MAX_OPERATIONS: usize = 40;
-/// Number of VMs.
-const VMS: usize = 4;
-/// Number of workers.
-const WORKERS: usize = 6;
+/// Default number of cases with relays, whose simulations are larger.
+const DEFAULT_RELAY_CASES: u32 = 24;
+/// Two data centres in which every VM is a relay.
+const ALL_RELAYS: Shape = Shape {
+    vms: 4,
+    data_centres: 2,
+    workers: 6,
+    weights: EQUAL,
+};
+/// Three data centres, each with one VM that is neither a relay nor follows the workers' registry.
+const WITH_RELAYS: Shape = Shape {
+    vms: 21,
+    data_centres: 3,
+    workers: 9,
+    weights: &[50, 9, 30, 50, 30, 9, 9],
+};
 
 /// An operation on the simulation.
 ///
@@ -64,13 +76,36 @@
         behaviour: Behaviour,
     },
     ChangeQueues,
+    /// Kills or freezes a VM of a data centre by its rank there.
+    KillRanked {
+        data_centre: usize,
+        rank: usize,
+        power: bool,
+    },
+    FreezeRanked {
+        data_centre: usize,
+        rank: usize,
+        ms: u64,
+    },
+    /// Cuts all connections between two data centres, and those to each other's workers.
+    CutDataCentres {
+        a: usize,
+        b: usize,
+    },
+    ResetLinks,
+    /// Cuts the power of all VMs and starts them again.
+    RestartAll {
+        pause_ms: u64,
+    },
+    /// Starts all VMs that are down.
+    BootAll,
     Heal,
     Advance(u64),
 }
 
-fn op() -> impl Strategy<Value = Op> {
-    let vm = 0..VMS;
-    let worker = 0..WORKERS;
+fn op(shape: Shape) -> impl Strategy<Value = Op> {
+    let vm = 0..shape.vms;
+    let worker = 0..shape.workers;
     let behaviour = prop_oneof![
         Just(Behaviour::Normal),
         Just(Behaviour::FailAll),
@@ -100,6 +135,23 @@
     ]
 }
 
+/// An operation on a deployment with relays.
+fn relay_op(shape: Shape) -> impl Strategy<Value = Op> {
+    let data_centre = 0..shape.data_centres;
+    let rank = 0_usize..5;
+    prop_oneof![
+        30 => op(shape),
+        2 => (data_centre.clone(), rank.clone(), any::<bool>())
+            .prop_map(|(data_centre, rank, power)| Op::KillRanked { data_centre, rank, power }),
+        2 => (data_centre.clone(), rank, 50_u64..3_000)
+            .prop_map(|(data_centre, rank, ms)| Op::FreezeRanked { data_centre, rank, ms }),
+        2 => (data_centre.clone(), data_centre).prop_map(|(a, b)| Op::CutDataCentres { a, b }),
+        1 => Just(Op::ResetLinks),
+        1 => (100_u64..2_000).prop_map(|pause_ms| Op::RestartAll { pause_ms }),
+        1 => Just(Op::BootAll),
+    ]
+}
+
 fn apply(sim: &mut Sim, op: &Op) {
     match *op {
         Op::Submit { vm, tasks, work_ms } => {
@@ -132,30 +184,60 @@
         }
         Op::SetBehaviour { worker, behaviour } => sim.set_behaviour(worker, behaviour),
         Op::ChangeQueues => sim.change_queues(),
+        Op::KillRanked {
+            data_centre,
+            rank,
+            power,
+        } => {
+            if let Some(vm) = sim.ranked_vm(data_centre, rank) {
+                sim.kill(vm, power);
+            }
+        }
+        Op::FreezeRanked {
+            data_centre,
+            rank,
+            ms,
+        } => {
+            if let Some(vm) = sim.ranked_vm(data_centre, rank) {
+                sim.freeze(vm, ms);
+            }
+        }
+        Op::CutDataCentres { a, b } => sim.cut_data_centres(a, b),
+        Op::ResetLinks => sim.reset_links(),
+        Op::RestartAll { pause_ms } => {
+            for vm in 0..sim.shape().vms {
+                sim.kill(vm, true);
+            }
+            sim.advance(pause_ms);
+            boot_all(sim);
+        }
+        Op::BootAll => boot_all(sim),
         Op::Heal => sim.heal(),
         Op::Advance(ms) => sim.advance(ms),
     }
 }
 
+fn boot_all(sim: &mut Sim) {
+    for vm in 0..sim.shape().vms {
+        if !sim.is_up(vm) {
+            sim.boot(vm);
+        }
+    }
+}
+
 /// Ends all faults and checks that a job submitted to each VM completes.
 fn recover(sim: &mut Sim) {
     sim.heal();
-    for worker in 0..WORKERS {
+    for worker in 0..sim.shape().workers {
         sim.set_behaviour(worker, Behaviour::Normal);
     }
-    for vm in 0..VMS {
-        if !sim.is_up(vm) {
-            sim.boot(vm);
-        }
-    }
+    boot_all(sim);
     sim.advance(14_000);
-    for vm in 0..VMS {
-        if !sim.is_up(vm) {
-            sim.boot(vm);
-        }
-    }
+    boot_all(sim);
     sim.advance(6_000);
-    let probes: Vec<_> = (0..VMS).map(|vm| sim.submit(vm, 1, 50, 0)).collect();
+    let probes: Vec<_> = (0..sim.shape().vms)
+        .map(|vm| sim.submit(vm, 1, 50, 0))
+        .collect();
     sim.advance(2_000);
     for (vm, id) in probes.into_iter().enumerate() {
         let answer = sim.history.jobs[&id].answer;
@@ -167,13 +249,7 @@
     }
 }
 
-fn run_case(seed: u64, ops: &[Op]) {
-    let shape = Shape {
-        vms: VMS,
-        data_centres: 2,
-        workers: WORKERS,
-        weights: EQUAL,
-    };
+fn run_case(shape: Shape, seed: u64, ops: &[Op]) {
     let mut sim = Sim::new(shape, seed);
     for op in ops {
         apply(&mut sim, op);
@@ -181,11 +257,14 @@
     recover(&mut sim);
 }
 
-#[test]
-fn promises_hold_under_faults() {
+/// Runs random cases on several threads.
+fn check_promises<S>(shape: Shape, default_cases: u32, op: fn(Shape) -> S)
+where
+    S: Strategy<Value = Op>,
+{
     let mut config = Config::default();
     if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = DEFAULT_CASES;
+        config.cases = default_cases;
     }
     let seed = match config.rng_seed {
         RngSeed::Fixed(seed) => seed,
@@ -204,9 +283,10 @@
                 ..config.clone()
             };
             scope.spawn(move || {
-                let strategy = (any::<u64>(), prop::collection::vec(op(), 1..MAX_OPERATIONS));
+                let ops = prop::collection::vec(op(shape), 1..MAX_OPERATIONS);
+                let strategy = (any::<u64>(), ops);
                 let result = TestRunner::new(config).run(&strategy, |(seed, ops)| {
-                    run_case(seed, &ops);
+                    run_case(shape, seed, &ops);
                     Ok(())
                 });
                 if let Err(e) = result {
@@ -217,13 +297,24 @@
     });
 }
 
+#[test]
+fn promises_hold_under_faults() {
+    check_promises(ALL_RELAYS, DEFAULT_CASES, op);
+}
+
+/// The same with two levels of membership, and faults of relays, of data centres and of all VMs.
+#[test]
+fn promises_hold_under_faults_of_relays() {
+    check_promises(WITH_RELAYS, DEFAULT_RELAY_CASES, relay_op);
+}
+
 /// Defines a test for each case that failed in the past.
 macro_rules! regressions {
     ($($(#[$doc:meta])* $name:ident($seed:expr) => [$($op:expr),* $(,)?];)*) => {
         $($(#[$doc])*
         #[test]
         fn $name() {
-            run_case($seed, &[$($op),*]);
+            run_case(ALL_RELAYS, $seed, &[$($op),*]);
         })*
     };
 }
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -208,6 +208,19 @@
         self.stats().map(|stats| stats.held_workers).sum()
     }
 
+    /// Returns the shape of the deployment.
+    pub const fn shape(&self) -> Shape {
+        self.shape
+    }
+
+    /// Returns the running VM of a data centre with this number, largest first.
+    pub fn ranked_vm(&self, data_centre: usize, rank: usize) -> Option<usize> {
+        let vms = (0..self.vms.len()).filter(|vm| vm % self.shape.data_centres == data_centre);
+        let mut running: Vec<usize> = vms.filter(|&vm| self.is_up(vm)).collect();
+        running.sort_by_key(|&vm| std::cmp::Reverse(self.weight(vm)));
+        running.get(rank).copied()
+    }
+
     /// Returns the VMs that hold workers.
     pub fn holders(&self) -> Vec<usize> {
         let vms = 0..self.vms.len();
--- a/crates/core/tests/guarded/sim/links.rs
+++ b/crates/core/tests/guarded/sim/links.rs
@@ -123,6 +123,23 @@
         }
     }
 
+    /// Cuts all connections between two data centres, and those to each other's workers.
+    pub fn cut_data_centres(&mut self, a: usize, b: usize) {
+        let data_centres = self.shape.data_centres;
+        let is_across = |x: usize, y: usize| {
+            let (x, y) = (x % data_centres, y % data_centres);
+            a != b && ((x, y) == (a, b) || (x, y) == (b, a))
+        };
+        for vm in 0..self.vms.len() {
+            for peer in (0..self.vms.len()).filter(|&peer| is_across(vm, peer)) {
+                self.cut(vm, peer);
+            }
+            for worker in (0..self.workers.len()).filter(|&worker| is_across(vm, worker)) {
+                self.cut_worker(vm, worker);
+            }
+        }
+    }
+
     /// Blocks all messages between a VM and a worker.
     pub fn cut_worker(&mut self, vm: usize, worker: usize) {
         self.worker_cut.insert((vm, worker));
--- a/crates/test/src/lib.rs
+++ b/crates/test/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod executor;
 pub mod http;
 pub mod platform;
+pub mod ports;
 
 pub use cluster::{Cluster, ClusterConfig, Customer};
 pub use executor::{ExecutorConfig, ExecutorStandIn};
--- a/crates/test/tests/processes/fleet.rs
+++ b/crates/test/tests/processes/fleet.rs
@@ -3,10 +3,11 @@
 use crate::relay::Relay;
 use cardamomslip_cli::client::{Client, Response};
 use cardamomslip_test::cluster::{OPERATOR_TOKEN, first_configuration, token_hash, wait_until};
+use cardamomslip_test::ports::free_addresses;
 use cardamomslip_test::{Customer, ExecutorConfig, ExecutorStandIn, PlatformStandIn};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -54,12 +55,6 @@
     Ipv4Addr::new(127, third ^ high, fourth ^ low, fleet)
 }
 
-/// Returns a free port of `ip`, which only one fleet uses.
-fn free_address(ip: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound socket")
-}
-
 impl Fleet {
     /// Starts the stand-ins and daemons and waits until all daemons are ready and connected. `test`
     /// is the prefix of the VMs' names.
@@ -75,8 +70,9 @@
             revision: 0,
             ip: unique_loopback(),
         };
-        for i in 0..VMS {
-            let vm = fleet.prepare_vm(test, i);
+        let addresses = free_addresses(fleet.ip, 2 * VMS).expect("free ports");
+        for (i, pair) in addresses.chunks_exact(2).enumerate() {
+            let vm = fleet.prepare_vm(test, i, pair[0], pair[1]);
             fleet.vms.push(vm);
         }
         fleet.publish();
@@ -88,10 +84,9 @@
         fleet
     }
 
-    fn prepare_vm(&self, test: &str, i: usize) -> Vm {
+    fn prepare_vm(&self, test: &str, i: usize, callers: SocketAddr, peers: SocketAddr) -> Vm {
         let name = format!("{test}-{i}");
         let data_centre = DATA_CENTRES[i / 2];
-        let (callers, peers) = (free_address(self.ip), free_address(self.ip));
         let text = format!(
             "name: {name}\n\
              data_centre: {data_centre}\n\
