--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -92,7 +92,10 @@
         a: usize,
         b: usize,
     },
-    ResetLinks,
+    /// Resets all connections; new ones take this time.
+    ResetLinks {
+        ms: u64,
+    },
     /// Cuts the power of all VMs and starts them again.
     RestartAll {
         pause_ms: u64,
@@ -146,7 +149,7 @@
         2 => (data_centre.clone(), rank, 50_u64..3_000)
             .prop_map(|(data_centre, rank, ms)| Op::FreezeRanked { data_centre, rank, ms }),
         2 => (data_centre.clone(), data_centre).prop_map(|(a, b)| Op::CutDataCentres { a, b }),
-        1 => Just(Op::ResetLinks),
+        1 => (1_u64..200).prop_map(|ms| Op::ResetLinks { ms }),
         1 => (100_u64..2_000).prop_map(|pause_ms| Op::RestartAll { pause_ms }),
         1 => Just(Op::BootAll),
     ]
@@ -203,7 +206,7 @@
             }
         }
         Op::CutDataCentres { a, b } => sim.cut_data_centres(a, b),
-        Op::ResetLinks => sim.reset_links(),
+        Op::ResetLinks { ms } => sim.reset_links(ms),
         Op::RestartAll { pause_ms } => {
             for vm in 0..sim.shape().vms {
                 sim.kill(vm, true);
--- a/crates/core/tests/guarded/scale.rs
+++ b/crates/core/tests/guarded/scale.rs
@@ -167,12 +167,12 @@
         check_service(sim, LARGE.vms);
     };
 
-    /// Connections are reset between VMs that are all alive. A lost connection is no lost VM: no
-    /// worker changes its holder.
+    /// Connections between VMs that are all alive are reset, and new ones take 70 ms. A lost
+    /// connection is no lost VM: no worker changes its holder.
     resets_of_connections_cause_no_acquisitions(GROWN) => |sim| {
         sim.advance(3_000);
         let before = sim.acquisitions();
-        sim.reset_links();
+        sim.reset_links(70);
         sim.advance(2_000);
         assert_eq!(sim.acquisitions() - before, 0, "acquisitions after the resets");
         check_service(sim, GROWN.vms);
--- a/crates/core/tests/guarded/sim/links.rs
+++ b/crates/core/tests/guarded/sim/links.rs
@@ -9,8 +9,13 @@
         }
         let cut = self.cut.contains(&(a, b)) || self.cut.contains(&(b, a));
         let frozen = self.vms[a].frozen_since.is_some() || self.vms[b].frozen_since.is_some();
-        if cut || frozen {
-            self.push(self.now + 250 * MS, SimEvent::Reconnect(a, b));
+        if cut || frozen || self.now < self.no_connections_until {
+            let retry_at = if cut || frozen {
+                self.now + 250 * MS
+            } else {
+                self.no_connections_until
+            };
+            self.push(retry_at, SimEvent::Reconnect(a, b));
             return;
         }
         self.next_link += 1;
@@ -79,12 +84,18 @@
         }
     }
 
-    /// Resets all connections between VMs.
-    pub fn reset_links(&mut self) {
-        for vm in 0..self.vms.len() {
-            let me = self.vms[vm].me;
-            self.drop_links(vm, me, LINK_LATENCY);
+    /// Resets all connections between VMs. New ones are established only after `ms` milliseconds.
+    pub fn reset_links(&mut self, ms: u64) {
+        self.no_connections_until = self.now + ms * MS;
+        for (vm, peer) in self.links.keys().copied().collect::<Vec<_>>() {
+            let link = self.links[&(vm, peer)];
+            let (boot, other) = (self.vms[vm].boot, self.vms[peer].me);
+            self.push(
+                self.now + LINK_LATENCY,
+                SimEvent::LinkDown(vm, boot, other, link),
+            );
         }
+        self.links.clear();
     }
 
     /// Returns the number of connections of a VM.
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -158,6 +158,8 @@
     /// Numbers of the connections that each VM has been notified of. Notifications are delayed, so
     /// these may differ from `links`.
     known_links: BTreeMap<(usize, Incarnation), u64>,
+    /// Time before which no connection between VMs is established.
+    no_connections_until: u64,
     /// Sender and receiver VMs between which messages are lost.
     cut: BTreeSet<(usize, usize)>,
     /// Pairs of a VM and a worker that can't reach each other.
@@ -201,6 +203,7 @@
             links: BTreeMap::new(),
             next_link: 0,
             known_links: BTreeMap::new(),
+            no_connections_until: 0,
             cut: BTreeSet::new(),
             worker_cut: BTreeSet::new(),
             replaced_workers: BTreeSet::new(),
