--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -64,7 +64,7 @@
         match event {
             Event::Submit { call, job } => systems::entry::submit(world, cx, call, job),
             Event::ClientGone(call) => systems::entry::handle_disconnect(world, cx, call),
-            Event::Queues(table) => adopt_queues(world, cx, table),
+            Event::Queues(table) => systems::configuration::adopt(world, cx, table),
             Event::Worker(entry) => add_or_update_worker(world, entry),
             Event::WorkerGone(id) => mark_worker_missing(world, now, id),
             Event::WorkersListed(entries) => handle_worker_list(world, now, entries),
@@ -117,8 +117,8 @@
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
         // After the dispatch, so that the reported load includes it.
-        systems::peers::begin_round_if_due(world, cx);
-        systems::peers::broadcast_if_due(world, cx);
+        systems::heartbeats::begin_round_if_due(world, cx);
+        systems::heartbeats::broadcast_if_due(world, cx);
         close_if_done(world, cx);
     }
 
@@ -176,29 +176,11 @@
     }
 }
 
-/// Adopts a configuration, unless it is not newer than the current one.
-fn adopt_queues(world: &mut World, cx: &mut Cx<'_>, table: Arc<QueueTable>) {
-    if table.version <= world.queues_version() {
-        return;
-    }
-    tracing::info!(
-        version = table.version,
-        before = world.queues_version(),
-        queues = table.iter().count(),
-        "configuration adopted"
-    );
-    world.queues = Some(Arc::clone(&table));
-    world.queues_known_at = world.outdated_since.unwrap_or(cx.now);
-    // Peers that can't reach the store learn of the version by the next heartbeat.
-    world.heartbeat_due = true;
-    cx.emit(Action::AdoptQueues(table));
-}
-
 /// Runs the periodic checks.
 fn sweep(world: &mut World, cx: &mut Cx<'_>) {
     systems::peers::remove_silent(world, cx);
     systems::peers::remove_outdated_holders(world, cx.now);
-    systems::peers::request_configuration(world, cx);
+    systems::configuration::request(world, cx);
     systems::topology::run(world, cx);
     systems::sweep::run(world, cx);
     systems::cell_assignment::run(world, cx);
@@ -265,9 +247,9 @@
         }
         Message::Withdraw { job } => systems::runner::withdraw(world, cx, from, job),
         Message::RequestQueues { version } => {
-            systems::peers::handle_queues_request(world, cx, from, version);
+            systems::configuration::handle_request(world, cx, from, version);
         }
-        Message::Queues(table) => adopt_queues(world, cx, table),
+        Message::Queues(table) => systems::configuration::adopt(world, cx, table),
     }
 }
 
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -6,8 +6,10 @@
 //! [`holds::begin_acquisition`], which [`polls`] and [`stops`] call.
 
 pub mod cell_assignment;
+pub mod configuration;
 pub mod dispatch;
 pub mod entry;
+pub mod heartbeats;
 pub mod holds;
 pub mod peers;
 pub mod placement;
