--- /dev/null
+++ b/src/guarded/wire/heartbeat.rs
@@ -0,0 +1,162 @@
+//! Wire format of heartbeats.
+
+use super::micros;
+use crate::peers::{IncarnationWire, WireError};
+use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
+use cardamomslip_core::guarded::model::ids::WorkerId;
+use cardamomslip_core::guarded::model::message::{Heartbeat, RemoteHolder};
+use cardamomslip_core::model::ids::DataCentreId;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// `weight`, `leaving`, `queues_version`, `queues_age`, `token`, `cells`, `load`, `still_held`,
+/// `next_within`, `is_relay`, `wants_link`, `remote_holders`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct HeartbeatWire(
+    u32,
+    bool,
+    u64,
+    u64,
+    u64,
+    Vec<CellWire>,
+    HolderLoadWire,
+    Vec<u64>,
+    u64,
+    bool,
+    bool,
+    Vec<RemoteHolderWire>,
+);
+
+/// `holder`, `load`, `age`.
+#[derive(Debug, Serialize, Deserialize)]
+struct RemoteHolderWire(IncarnationWire, HolderLoadWire, u64);
+
+/// `data_centre`, `cell_count`, `index`.
+#[derive(Debug, Serialize, Deserialize)]
+struct CellWire(u64, u16, u16);
+
+/// `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`.
+#[derive(Debug, Serialize, Deserialize)]
+struct HolderLoadWire(u64, u64, u64, u64);
+
+impl From<&Heartbeat> for HeartbeatWire {
+    fn from(heartbeat: &Heartbeat) -> Self {
+        Self(
+            heartbeat.weight,
+            heartbeat.leaving,
+            heartbeat.queues_version,
+            micros(heartbeat.queues_age),
+            heartbeat.token,
+            heartbeat
+                .cells
+                .iter()
+                .copied()
+                .map(CellWire::from)
+                .collect(),
+            heartbeat.load.into(),
+            heartbeat.still_held.iter().map(|worker| worker.0).collect(),
+            micros(heartbeat.next_within),
+            heartbeat.is_relay,
+            heartbeat.wants_link,
+            heartbeat.remote_holders.iter().map(Into::into).collect(),
+        )
+    }
+}
+
+impl TryFrom<HeartbeatWire> for Heartbeat {
+    type Error = WireError;
+
+    fn try_from(wire: HeartbeatWire) -> Result<Self, WireError> {
+        let HeartbeatWire(
+            weight,
+            leaving,
+            queues_version,
+            queues_age,
+            token,
+            cells,
+            load,
+            still_held,
+            next_within,
+            is_relay,
+            wants_link,
+            remote_holders,
+        ) = wire;
+        let cells = cells.into_iter().map(Cell::try_from);
+        Ok(Self {
+            weight,
+            leaving,
+            queues_version,
+            queues_age: Duration::from_micros(queues_age),
+            token,
+            cells: cells.collect::<Result<_, _>>()?,
+            load: load.into(),
+            still_held: still_held.into_iter().map(WorkerId).collect(),
+            next_within: Duration::from_micros(next_within),
+            is_relay,
+            wants_link,
+            remote_holders: remote_holders.into_iter().map(Into::into).collect(),
+        })
+    }
+}
+
+impl From<&RemoteHolder> for RemoteHolderWire {
+    fn from(remote: &RemoteHolder) -> Self {
+        Self(remote.holder.into(), remote.load.into(), micros(remote.age))
+    }
+}
+
+impl From<RemoteHolderWire> for RemoteHolder {
+    fn from(wire: RemoteHolderWire) -> Self {
+        let RemoteHolderWire(holder, load, age) = wire;
+        Self {
+            holder: holder.into(),
+            load: load.into(),
+            age: Duration::from_micros(age),
+        }
+    }
+}
+
+impl From<Cell> for CellWire {
+    fn from(cell: Cell) -> Self {
+        Self(cell.data_centre.0, cell.cell_count, cell.index)
+    }
+}
+
+impl TryFrom<CellWire> for Cell {
+    type Error = WireError;
+
+    fn try_from(CellWire(data_centre, cell_count, index): CellWire) -> Result<Self, WireError> {
+        if !cell_count.is_power_of_two() || index >= cell_count {
+            return Err(WireError::new(
+                &"invalid cell: count not a power of two, or index out of range",
+            ));
+        }
+        Ok(Self {
+            data_centre: DataCentreId(data_centre),
+            cell_count,
+            index,
+        })
+    }
+}
+
+impl From<HolderLoad> for HolderLoadWire {
+    fn from(load: HolderLoad) -> Self {
+        Self(
+            load.capacity_milli,
+            load.free_milli,
+            load.waiting_milli,
+            micros(load.mean_run),
+        )
+    }
+}
+
+impl From<HolderLoadWire> for HolderLoad {
+    fn from(HolderLoadWire(capacity, free, waiting, mean_run): HolderLoadWire) -> Self {
+        Self {
+            capacity_milli: capacity,
+            free_milli: free,
+            waiting_milli: waiting,
+            mean_run: Duration::from_micros(mean_run),
+        }
+    }
+}
