--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -18,4 +18,5 @@
 mod recovery;
 mod scale;
 mod sim;
+mod stale_knowledge;
 mod worker;
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -168,6 +168,8 @@
     replaced_workers: BTreeSet<usize>,
     /// Heartbeats that each VM sent and received.
     pub heartbeats: Vec<HeartbeatCount>,
+    /// Number of starts and stops that each VM sent.
+    pub orders: Vec<u64>,
     /// Number of configurations sent between VMs.
     pub queues_sent: u64,
     /// Number of requests to workers that are down or replaced.
@@ -208,6 +210,7 @@
             worker_cut: BTreeSet::new(),
             replaced_workers: BTreeSet::new(),
             heartbeats: vec![HeartbeatCount::default(); shape.vms],
+            orders: vec![0; shape.vms],
             queues_sent: 0,
             misdirected_requests: 0,
             rng,
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -239,8 +239,12 @@
                 }
             }
             Action::Poll(poll) => self.send_request(vm, poll.worker, Action::Poll(poll)),
-            Action::Start(start) => self.send_request(vm, start.worker, Action::Start(start)),
+            Action::Start(start) => {
+                self.orders[vm] += 1;
+                self.send_request(vm, start.worker, Action::Start(start));
+            }
             Action::Stop { worker, run, token } => {
+                self.orders[vm] += 1;
                 self.send_request(vm, worker, Action::Stop { worker, run, token });
             }
             Action::AdoptQueues(table) => {
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -65,6 +65,11 @@
         self.workers[worker].up = false;
     }
 
+    /// Removes a crashed worker from the registry.
+    pub fn unlist_worker(&mut self, worker: usize) {
+        self.publish_worker(worker);
+    }
+
     /// Replaces a worker by another one at the same address. The registry entry of the former
     /// stays.
     pub fn replace_worker(&mut self, worker: usize) {
--- /dev/null
+++ b/crates/core/tests/guarded/stale_knowledge.rs
@@ -0,0 +1,122 @@
+//! What VMs do with knowledge that may be out of date: about workers and VMs that are only silent,
+//! around a hand-over, after a pause, after a restart and after a lost reply.
+
+use crate::sim::{EQUAL, Shape, Sim};
+use cardamomslip_core::guarded::model::answer::{Answer, LossCause};
+
+/// Two data centres with two VMs and three workers each.
+const TWO_DATA_CENTRES: Shape = Shape {
+    vms: 4,
+    data_centres: 2,
+    workers: 6,
+    weights: EQUAL,
+};
+
+fn starts(sim: &Sim) -> u64 {
+    sim.workers.iter().map(|worker| worker.started).sum()
+}
+
+simulation_tests! {
+    /// No reply of any worker arrives for 600 ms. The runs go on, none is started again.
+    silent_workers_keep_their_runs(TWO_DATA_CENTRES) => |sim| {
+        let ids: Vec<_> = (0..4).map(|vm| sim.submit(vm, 1, 1_000, 2)).collect();
+        sim.advance(100);
+        sim.lost_reply_ratio = 1.0;
+        sim.advance(600);
+        sim.lost_reply_ratio = 0.0;
+        sim.advance(2_000);
+        for id in ids {
+            let took = sim.completed_in(id).expect("the job completes");
+            assert!(took <= 1_300, "the job took {took} ms");
+        }
+        assert_eq!(starts(sim), 4);
+    };
+
+    /// The entry and the runner of a job do not hear from each other for 300 ms, less than the peer
+    /// timeout. The job goes on.
+    a_briefly_silent_peer_keeps_its_jobs(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let entry = 2 - holder;
+        let id = sim.submit(entry, 2, 900, 2);
+        sim.advance(100);
+        sim.freeze(entry, 250);
+        sim.advance(2_000);
+        assert_eq!(sim.history.jobs[&id].answer, Some(Answer::Completed));
+        assert_eq!(starts(sim), 2);
+    };
+
+    /// Workers pass to another holder while jobs arrive. Each task is started once.
+    a_handover_starts_each_task_once(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let entry = 2 - holder;
+        let mut tasks = 0;
+        for round in 0..60 {
+            if round == 10 {
+                sim.stop(holder);
+            }
+            sim.submit(entry, 2, 150, 0);
+            tasks += 2;
+            sim.advance(60);
+        }
+        sim.advance(4_000);
+        assert_eq!(starts(sim), tasks);
+    };
+
+    /// The holder of a data centre is paused for two seconds with jobs in its queue. On resuming it
+    /// sends no order for its workers, which another VM holds by then.
+    a_resumed_holder_sends_no_orders(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        for _ in 0..12 {
+            sim.submit(holder, 2, 400, 2);
+        }
+        sim.advance(200);
+        sim.suspend(holder, 2_000);
+        sim.advance(1_999);
+        let before = sim.orders[holder];
+        sim.advance(150);
+        assert_eq!(sim.orders[holder] - before, 0, "orders of the resumed holder");
+    };
+
+    /// All VMs restart after a worker has left the registry. It gets no request any more.
+    restarted_vms_do_not_use_a_worker_that_left(TWO_DATA_CENTRES) => |sim| {
+        sim.crash_worker(2);
+        sim.unlist_worker(2);
+        sim.advance(4_000);
+        for vm in 0..4 {
+            sim.kill(vm, true);
+        }
+        for vm in 0..4 {
+            sim.boot(vm);
+        }
+        let before = sim.misdirected_requests;
+        sim.advance(2_000);
+        let id = sim.submit(0, 4, 100, 0);
+        sim.advance(1_000);
+        assert_eq!(sim.misdirected_requests - before, 0, "requests to the worker that left");
+        assert!(sim.completed_in(id).is_some());
+    };
+
+    /// A VM that restarts without the store adopts the newest configuration of its peers, also if
+    /// another peer still has an older one.
+    a_restarted_vm_adopts_the_newest_configuration(TWO_DATA_CENTRES) => |sim| {
+        sim.change_queues_at(&[1, 2, 3]);
+        sim.advance(100);
+        sim.kill(0, false);
+        sim.advance(100);
+        sim.boot(0);
+        sim.advance(2_000);
+        assert_eq!(sim.config_versions(), [2; 4]);
+    };
+
+    /// The runner of a job is lost just before it reports the end. The client is told that the job
+    /// may have run, not that it has not.
+    a_lost_answer_is_not_a_refusal(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let entry = 2 - holder;
+        let id = sim.submit(entry, 1, 200, 0);
+        sim.advance(199);
+        sim.kill(holder, true);
+        sim.advance(500);
+        assert_eq!(sim.history.jobs[&id].answer, Some(Answer::Lost(LossCause::RunnerLost)));
+    };
+}
