--- a/crates/core/src/guarded/model/cell.rs
+++ b/crates/core/src/guarded/model/cell.rs
@@ -1,5 +1,6 @@
 //! Cells: groups of workers with one holder.
 
+use super::job::MAX_TIME;
 use super::worker::WorkerEntry;
 use crate::model::ids::DataCentreId;
 use std::time::Duration;
@@ -49,7 +50,21 @@
     pub mean_run: Duration,
 }
 
+/// Maximum of each amount of CPU of a holder, in thousandths of a core.
+const MAX_MILLI: u64 = 1 << 50;
+
 impl HolderLoad {
+    /// Cuts the values to their maximums, so that sums do not overflow.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        Self {
+            capacity_milli: self.capacity_milli.min(MAX_MILLI),
+            free_milli: self.free_milli.min(MAX_MILLI),
+            waiting_milli: self.waiting_milli.min(MAX_MILLI),
+            mean_run: self.mean_run.min(MAX_TIME),
+        }
+    }
+
     /// Returns the CPU that tasks needing `ahead_milli` on top of the waiting ones leave free, in
     /// thousandths of a core.
     #[must_use]
@@ -69,6 +84,7 @@
         let ahead = ahead.saturating_sub(self.free_milli);
         #[allow(clippy::cast_precision_loss, reason = "an estimate")]
         let share = ahead as f64 / self.capacity_milli as f64;
-        self.mean_run.mul_f64(share)
+        let wait = self.mean_run.as_secs_f64() * share;
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 }
--- a/crates/core/src/guarded/model/job.rs
+++ b/crates/core/src/guarded/model/job.rs
@@ -5,6 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum of a run-time estimate, a latency target and a client's timeout. Longer ones are cut to
+/// it, so that sums and products of them do not overflow.
+pub const MAX_TIME: Duration = Duration::from_secs(24 * 3_600);
+
 /// A step of a job: a number of tasks with the same requirements.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
@@ -24,6 +28,18 @@
     pub max_per_worker: Option<u32>,
 }
 
+impl Step {
+    /// Cuts the values to their maximums.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        Self {
+            need: self.need.bounded(),
+            estimate: self.estimate.min(MAX_TIME),
+            ..self
+        }
+    }
+}
+
 /// Settings that a queue applies to a job, from the configuration at the time of submission.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueSettings {
@@ -41,6 +57,17 @@
     pub target: Duration,
 }
 
+impl QueueSettings {
+    /// Cuts the values to their maximums.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        Self {
+            target: self.target.min(MAX_TIME),
+            ..self
+        }
+    }
+}
+
 /// A best-effort job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
--- a/crates/core/src/guarded/model/resources.rs
+++ b/crates/core/src/guarded/model/resources.rs
@@ -2,6 +2,9 @@
 
 use std::ops::{AddAssign, SubAssign};
 
+/// Maximum of each amount. Larger ones are cut to it, so that sums do not overflow.
+const MAX_AMOUNT: u64 = 1 << 40;
+
 /// An amount of CPU, memory and accelerators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Resources {
@@ -14,6 +17,16 @@
 }
 
 impl Resources {
+    /// Cuts each amount to its maximum.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(MAX_AMOUNT),
+            memory_mb: self.memory_mb.min(MAX_AMOUNT),
+            accelerators: self.accelerators.min(MAX_AMOUNT),
+        }
+    }
+
     /// Returns whether `need` fits into this amount.
     #[must_use]
     pub const fn can_fit(&self, need: &Self) -> bool {
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -138,7 +138,7 @@
         RefusalCause::Overloaded => {
             let choice = choose_runner(world, cx.now, &row.job).linked;
             choice.is_some_and(|choice| {
-                Some(choice.runner) != row.runner && choice.wait * 2 < retry_after
+                Some(choice.runner) != row.runner && choice.wait.saturating_mul(2) < retry_after
             })
         }
         RefusalCause::Impossible | RefusalCause::NoRunner => false,
--- a/src/guarded/wire/heartbeat.rs
+++ b/src/guarded/wire/heartbeat.rs
@@ -152,11 +152,12 @@
 
 impl From<HolderLoadWire> for HolderLoad {
     fn from(HolderLoadWire(capacity, free, waiting, mean_run): HolderLoadWire) -> Self {
-        Self {
+        let load = Self {
             capacity_milli: capacity,
             free_milli: free,
             waiting_milli: waiting,
             mean_run: Duration::from_micros(mean_run),
-        }
+        };
+        load.bounded()
     }
 }
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -9,7 +9,7 @@
 use crate::peers::{PeerMessage, WireError};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId};
-use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
+use cardamomslip_core::guarded::model::job::{Job, MAX_TIME, QueueSettings, Step};
 use cardamomslip_core::guarded::model::message::Message;
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
@@ -181,7 +181,7 @@
             settings: settings.try_into()?,
             payload,
             steps: steps.into_iter().map(Step::from).collect(),
-            client_timeout: Duration::from_micros(client_timeout),
+            client_timeout: Duration::from_micros(client_timeout).min(MAX_TIME),
         };
         let step_count = u32::try_from(job.steps.len()).unwrap_or(u32::MAX);
         let numbered = (0..step_count).zip(&job.steps);
@@ -217,14 +217,15 @@
         if !(0.0..=1e6).contains(&stretch) {
             return Err(WireError::new(&"stretch out of range"));
         }
-        Ok(Self {
+        let settings = Self {
             queue: QueueId(queue),
             upstream: UpstreamId(upstream),
             priority,
             max_attempts,
             stretch,
             target: Duration::from_micros(target),
-        })
+        };
+        Ok(settings.bounded())
     }
 }
 
@@ -257,7 +258,7 @@
             preferred_rack,
             max_per_worker,
         ) = wire;
-        Self {
+        let step = Self {
             count,
             need: Resources {
                 cpu_milli,
@@ -269,7 +270,8 @@
             label,
             preferred_rack,
             max_per_worker,
-        }
+        };
+        step.bounded()
     }
 }
 
