--- a/crates/core/src/guarded/systems/heartbeats.rs
+++ b/crates/core/src/guarded/systems/heartbeats.rs
@@ -26,6 +26,7 @@
 /// The free capacity of a data centre counts as scarce below one part in this many. Its VMs then
 /// need to know the holders elsewhere.
 const SCARCE_PART: u64 = 4;
+
 /// Begins a heartbeat round if its time has come: notes which peers have jobs with this VM, and
 /// sends the heartbeats that are due.
 pub fn begin_round_if_due(world: &mut World, cx: &mut Cx<'_>) {
