Workers: tell the end of a worker's process from a lost route, and log it with its runs

The logs of the incident could not distinguish a crash from a cut: the client of the workers reported both as silence. The core logs it with the runs that were there and their ages, and treats it as silence as before.

--- a/crates/core/src/guarded/model/reply.rs
+++ b/crates/core/src/guarded/model/reply.rs
@@ -59,6 +59,9 @@
     Fenced,
     /// Another boot of the worker, or another worker, answered.
     OtherBoot,
+    /// No answer: the worker closed the connection in order, and nothing listens at its address any
+    /// more, so its process has ended. A lost route or a reset is [`PollReply::Silent`].
+    Ended,
     /// No answer came, or one that could not be decoded.
     Silent,
 }
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -15,6 +15,7 @@
 pub mod placement;
 pub mod polls;
 pub mod progress;
+pub mod run_list;
 pub mod runner;
 pub mod starts;
 pub mod stops;
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -1,6 +1,7 @@
 //! Polls of workers, which renew leases and report ended and current runs.
 
 use super::holds;
+use super::run_list::RunList;
 use crate::guarded::action::{Action, Poll};
 use crate::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
@@ -132,10 +133,25 @@
         PollReply::Listed(status) => handle_status(world, cx, id, pending.sent_at, status),
         PollReply::Fenced => handle_fenced(world, cx.now, id),
         PollReply::OtherBoot => handle_replaced(world, cx.now, id),
+        PollReply::Ended => handle_ended(world, cx.now, id),
         PollReply::Silent => handle_unanswered(world, cx.now, id),
     }
 }
 
+/// Handles the end of the worker's process.
+fn handle_ended(world: &mut World, now: Time, id: WorkerId) {
+    let Some(row) = world.workers.get(&id) else {
+        return;
+    };
+    tracing::warn!(
+        worker = %id,
+        draining = row.entry.draining,
+        runs = %RunList { now, runs: &row.runs },
+        "the process of the worker has ended"
+    );
+    handle_unanswered(world, now, id);
+}
+
 /// Handles the answer of an unreachable worker to a probe.
 fn handle_reachable(row: &mut Worker, now: Time) {
     tracing::info!(worker = %row.entry.id, "unreachable worker answers again");
--- a/src/executors/http.rs
+++ b/src/executors/http.rs
@@ -108,14 +108,14 @@
                     StartReply::Lost
                 }
             },
-            Err(PoolError::Unsent(e)) => {
-                tracing::debug!(executor = pool.address(), error = e, "executor unreachable");
+            Err(e) if e.is_unsent() => {
+                tracing::debug!(executor = pool.address(), error = %e, "executor unreachable");
                 StartReply::NotStarted(NotStarted::Unreachable)
             }
-            Err(PoolError::NoResponse(e)) => {
+            Err(e) => {
                 tracing::warn!(
                     executor = pool.address(),
-                    error = e,
+                    error = %e,
                     "start request failed after it was sent; outcome unknown"
                 );
                 StartReply::Lost
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -5,6 +5,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -20,9 +21,42 @@
     /// No part of the request was sent.
     #[error("not connected: {0}")]
     Unsent(String),
+    /// No part of the request was sent: nothing listens at the address.
+    #[error("not connected: {0}")]
+    Refused(String),
     /// The request may have reached the server, but no response was received.
     #[error("{0}")]
     NoResponse(String),
+    /// The request may have reached the server, which closed the connection in order without a
+    /// response. A lost route or a reset is a [`PoolError::NoResponse`].
+    #[error("{0}")]
+    Closed(String),
+}
+
+impl PoolError {
+    /// Returns whether no part of the request was sent.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unsent(_) | Self::Refused(_))
+    }
+
+    /// Classifies the failure of a request of which some part may have been sent.
+    fn from_sent(e: &hyper::Error) -> Self {
+        if e.is_incomplete_message() {
+            Self::Closed(e.to_string())
+        } else {
+            Self::NoResponse(e.to_string())
+        }
+    }
+
+    /// Classifies the failure of a connection attempt.
+    fn from_connect(e: &std::io::Error) -> Self {
+        if e.kind() == ErrorKind::ConnectionRefused {
+            Self::Refused(e.to_string())
+        } else {
+            Self::Unsent(e.to_string())
+        }
+    }
 }
 
 /// An idle connection.
@@ -75,7 +109,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PoolError::Unsent`] only if no part of the request was written.
+    /// Returns an error for which [`PoolError::is_unsent`] holds only if no part of the request was
+    /// written.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<PooledResponse, PoolError> {
         let req = match self.take_idle() {
             None => req,
@@ -83,7 +118,7 @@
                 Ok(response) => return Ok(PooledResponse { response, sender }),
                 Err(mut e) => match e.take_message() {
                     Some(req) => req,
-                    None => return Err(PoolError::NoResponse(e.error().to_string())),
+                    None => return Err(PoolError::from_sent(e.error())),
                 },
             },
         };
@@ -92,11 +127,10 @@
             Ok(response) => Ok(PooledResponse { response, sender }),
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
-                let cause = e.error().to_string();
                 Err(if unsent {
-                    PoolError::Unsent(cause)
+                    PoolError::Unsent(e.error().to_string())
                 } else {
-                    PoolError::NoResponse(cause)
+                    PoolError::from_sent(e.error())
                 })
             }
         }
@@ -136,7 +170,7 @@
             .map_err(|e: std::net::AddrParseError| unsent(e.to_string()))?;
         let connecting = timeout(self.connect_timeout, TcpStream::connect(address));
         let stream = connecting.await.map_err(|e| unsent(e.to_string()))?;
-        let stream = stream.map_err(|e| unsent(e.to_string()))?;
+        let stream = stream.map_err(|e| PoolError::from_connect(&e))?;
         stream
             .set_nodelay(true)
             .map_err(|e| unsent(e.to_string()))?;
