Tests that fail: a deadly task crashes worker after worker, and takes runs, VMs' knowledge and workers with it

The simulation gained tasks that crash their worker, the restart of workers, queues and client timeouts.

--- a/crates/core/tests/guarded/history.rs
+++ b/crates/core/tests/guarded/history.rs
@@ -31,14 +31,32 @@
     pub answered_at: Option<u64>,
     pub completed_tasks: BTreeSet<TaskId>,
     pub has_started: bool,
+    /// Whether its first task crashes each worker that starts it.
+    pub is_deadly: bool,
 }
 
+/// The crashes of workers under a task, and its starts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CrashRecord {
+    /// Workers that crashed under it.
+    pub crashes: u32,
+    /// Starts after `MAX_CRASHES` such crashes.
+    pub excess_starts: u32,
+}
+
+/// Number of crashed workers after which the starts of a task are limited.
+const MAX_CRASHES: u32 = 3;
+/// Number of starts after `MAX_CRASHES` crashes that breaks the platform's rule.
+const MAX_EXCESS_STARTS: u32 = 3;
+
 /// Everything that clients and workers have observed.
 #[derive(Debug, Default)]
 pub struct History {
     pub jobs: BTreeMap<ClientJobId, JobRecord>,
     /// Workers on which a task runs, with the start times in microseconds.
     active: BTreeMap<TaskId, BTreeMap<usize, u64>>,
+    /// Crashes by deadly task.
+    pub crashes: BTreeMap<TaskId, CrashRecord>,
     /// Latest configuration version, by VM and its boot.
     config_versions: BTreeMap<(usize, u32), u64>,
 }
@@ -64,6 +82,32 @@
             !refused,
             "{task:?} started at {now} after its job was refused"
         );
+        if let Some(record) = self.crashes.get_mut(&task)
+            && record.crashes >= MAX_CRASHES
+        {
+            record.excess_starts += 1;
+            assert!(
+                record.excess_starts < MAX_EXCESS_STARTS,
+                "{task:?} started at {now}: {record:?}"
+            );
+        }
+    }
+
+    /// Returns whether a task crashes each worker that starts it.
+    pub fn is_deadly(&self, task: TaskId) -> bool {
+        let record = self.jobs.get(&task.job);
+        task.index == 0 && record.is_some_and(|record| record.is_deadly)
+    }
+
+    /// Records that a task crashed a worker.
+    pub fn record_crash(&mut self, now: u64, worker: usize, task: TaskId) {
+        let record = self.crashes.entry(task).or_default();
+        record.crashes += 1;
+        let crashes = record.crashes;
+        assert!(
+            self.is_deadly(task),
+            "{task:?} crashed worker {worker} at {now}, {crashes} in all"
+        );
     }
 
     /// Records that a task no longer runs on a worker.
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -12,6 +12,7 @@
 
 #[macro_use]
 mod cases;
+mod crashes;
 mod history;
 mod loads;
 mod oracle;
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -1,10 +1,20 @@
 //! Simulated clients and operators, and queries on the state of the simulation.
 
 use super::*;
+
+/// Time past its timeout at which a client closes its connection.
+const CLIENT_TIMEOUT_SLACK: Duration = Duration::from_millis(100);
+
 impl Sim {
     /// Submits a job of `tasks` tasks that take `work_ms` each to a VM.
     pub fn submit(&mut self, vm: usize, tasks: u32, work_ms: u64, priority: u32) -> ClientJobId {
-        self.submit_job(vm, tasks, work_ms, priority, TASK_CPU_MILLI)
+        let shape = JobShape {
+            tasks,
+            work_ms,
+            priority,
+            ..JobShape::default()
+        };
+        self.submit_shape(vm, shape)
     }
 
     /// Submits a job whose tasks need `cpu_milli` thousandths of a core each.
@@ -15,44 +25,44 @@
         work_ms: u64,
         cpu_milli: u64,
     ) -> ClientJobId {
-        self.submit_job(vm, tasks, work_ms, 0, cpu_milli)
+        let shape = JobShape {
+            tasks,
+            work_ms,
+            cpu_milli,
+            ..JobShape::default()
+        };
+        self.submit_shape(vm, shape)
     }
 
-    pub(super) fn submit_job(
-        &mut self,
-        vm: usize,
-        tasks: u32,
-        work_ms: u64,
-        priority: u32,
-        cpu_milli: u64,
-    ) -> ClientJobId {
+    /// Submits a job to a VM.
+    pub fn submit_shape(&mut self, vm: usize, shape: JobShape) -> ClientJobId {
         let id = ClientJobId(self.next_job);
         self.next_job += 1;
         let job = Job {
             id,
             settings: QueueSettings {
-                queue: QueueId(1),
+                queue: QueueId(shape.queue),
                 upstream: UpstreamId(1),
-                priority,
+                priority: shape.priority,
                 max_attempts: 3,
                 stretch: 1.6,
                 target: Duration::from_millis(60),
             },
             payload: "payload".into(),
             steps: vec![Step {
-                count: tasks,
+                count: shape.tasks,
                 need: Resources {
-                    cpu_milli,
+                    cpu_milli: shape.cpu_milli,
                     memory_mb: 64,
                     accelerators: 0,
                 },
-                estimate: Duration::from_millis(work_ms),
+                estimate: Duration::from_millis(shape.work_ms),
                 after: Vec::new(),
                 label: None,
                 preferred_rack: None,
                 max_per_worker: None,
             }],
-            client_timeout: Duration::from_millis(2_500),
+            client_timeout: Duration::from_millis(shape.client_timeout_ms),
         };
         self.history.jobs.insert(
             id,
@@ -66,6 +76,7 @@
                 answered_at: None,
                 completed_tasks: BTreeSet::new(),
                 has_started: false,
+                is_deadly: shape.is_deadly,
             },
         );
         self.send(id, vm);
@@ -78,6 +89,7 @@
         record.submissions += 1;
         let submission = record.submissions;
         let job = Arc::clone(&record.job);
+        let wait = job.client_timeout + CLIENT_TIMEOUT_SLACK;
         let call = CallId(self.next_call);
         self.next_call += 1;
         if !self.is_up(vm) {
@@ -87,7 +99,7 @@
         self.vms[vm].calls.insert(call, id);
         self.push_event(self.now + LINK_LATENCY, vm, Event::Submit { call, job });
         self.push(
-            self.now + 2_600 * MS,
+            self.now + u64::try_from(wait.as_micros()).expect("the time fits in 64 bits"),
             SimEvent::ClientTimeout(id, submission),
         );
     }
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -47,6 +47,10 @@
 const MAX_SUBMISSIONS: u32 = 3;
 /// CPU of a worker in thousandths of a core; two default tasks fit.
 const WORKER_CPU_MILLI: u64 = 16_000;
+/// Time from the start of a deadly task to the crash of its worker.
+const CRASH_DELAY: u64 = 10 * MS;
+/// Time from the crash of a worker to its restart.
+const WORKER_RESTART_DELAY: u64 = 3_300 * MS;
 /// CPU of a default task, in thousandths of a core.
 const TASK_CPU_MILLI: u64 = 6_800;
 
@@ -72,6 +76,10 @@
     Reconnect(usize, usize),
     /// A VM connects to one whose process may have ended: VM, its boot, the other VM.
     Redial(usize, u32, usize),
+    /// A run crashes its worker: worker, its boot, task.
+    Crash(usize, u64, TaskId),
+    /// A crashed worker starts again.
+    RestartWorker(usize),
     /// A VM detects that the connection with this number to a peer has closed.
     LinkDown(usize, u32, Incarnation, u64),
 }
@@ -127,6 +135,33 @@
 /// the root crate checks: the fixed part, a cell, a holder elsewhere and a worker.
 const HEARTBEAT_PART_BYTES: [u64; 4] = [80, 16, 56, 9];
 
+/// A job to submit.
+#[derive(Clone, Copy, Debug)]
+pub struct JobShape {
+    pub tasks: u32,
+    pub work_ms: u64,
+    pub cpu_milli: u64,
+    pub priority: u32,
+    pub queue: u64,
+    pub client_timeout_ms: u64,
+    /// Whether the first task crashes each worker that starts it.
+    pub is_deadly: bool,
+}
+
+impl Default for JobShape {
+    fn default() -> Self {
+        Self {
+            tasks: 1,
+            work_ms: 100,
+            cpu_milli: TASK_CPU_MILLI,
+            priority: 0,
+            queue: 1,
+            client_timeout_ms: 2_500,
+            is_deadly: false,
+        }
+    }
+}
+
 /// Size of the simulated deployment. VMs and workers alternate between data centres.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
@@ -307,6 +342,14 @@
                     self.advance_worker(worker);
                 }
             }
+            SimEvent::Crash(worker, boot, task) => {
+                let row = &self.workers[worker];
+                if row.up && row.boot == boot && row.tasks().any(|active| active == task) {
+                    self.history.record_crash(self.now, worker, task);
+                    self.crash_and_restart(worker);
+                }
+            }
+            SimEvent::RestartWorker(worker) => self.restart_worker(worker),
             SimEvent::Resend(id) => self.resend(id),
             SimEvent::ClientTimeout(id, submission) => self.handle_client_timeout(id, submission),
             SimEvent::Thaw(vm, boot) => self.thaw(vm, boot),
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -55,6 +55,34 @@
         self.publish_worker(worker);
     }
 
+    /// Crashes a worker, which starts again under the same id after a while. Connections to it are
+    /// closed, and its address refuses new ones.
+    pub fn crash_and_restart(&mut self, worker: usize) {
+        self.crash_worker(worker);
+        for pending in std::mem::take(&mut self.polls[worker]) {
+            let event = Event::Polled {
+                worker: pending.poll.worker,
+                poll: pending.poll.id,
+                reply: PollReply::Ended,
+            };
+            self.reply(pending.vm, pending.boot, event);
+        }
+        self.push(
+            self.now + WORKER_RESTART_DELAY,
+            SimEvent::RestartWorker(worker),
+        );
+    }
+
+    pub(super) fn restart_worker(&mut self, worker: usize) {
+        self.workers[worker].reboot(self.now);
+        self.publish_worker(worker);
+    }
+
+    /// Returns the number of workers that are down.
+    pub fn crashed_workers(&self) -> usize {
+        self.workers.iter().filter(|row| !row.up).count()
+    }
+
     /// Stops a worker for good. Its registry entry stays.
     pub fn crash_worker(&mut self, worker: usize) {
         let tasks: Vec<TaskId> = self.workers[worker].tasks().collect();
@@ -171,6 +199,13 @@
         action: Action,
         answered: bool,
     ) {
+        if !self.workers[worker].up {
+            // The worker crashed while the request was on its way.
+            if answered {
+                self.reply_unanswered(vm, &action, LINK_LATENCY);
+            }
+            return;
+        }
         self.advance_worker(worker);
         if self.replaced_workers.contains(&worker) {
             self.misdirected_requests += 1;
@@ -192,6 +227,11 @@
                 if is_new_run {
                     self.check_draining(worker, answered);
                     self.history.record_start(self.now, worker, start.run.task);
+                    if self.history.is_deadly(start.run.task) {
+                        let boot = self.workers[worker].boot;
+                        let at = self.now + CRASH_DELAY;
+                        self.push(at, SimEvent::Crash(worker, boot, start.run.task));
+                    }
                 }
                 if answered {
                     let id = Self::worker_id(worker);
