Client pool: the end of a process is also told from idle connections that the server closed

A worker that crashed between two polls was not reported as ended: its idle connections were dropped without a note, and the refused connection alone may be a cut route. The pool now observes how each connection ends; a close in order, with no reset since, followed by a refusal within 300 ms, is the end of the process.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP server and client connection pool, built on `hyper`.
 
 mod exchange;
+mod observed;
 mod pool;
 mod server;
 
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -1,5 +1,6 @@
 //! Connection pool of an HTTP client for one server.
 
+use super::observed::{ObservedStream, ServerCloses};
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::{Bytes, Incoming};
@@ -9,9 +10,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Maximum time between the close of a connection and the refusal of the next one that counts as the
+/// end of the server's process.
+const PROCESS_END_WINDOW: Duration = Duration::from_millis(300);
+
 /// Request sender of a connection.
 pub type Sender = SendRequest<Full<Bytes>>;
 
@@ -21,14 +25,16 @@
     /// No part of the request was sent.
     #[error("not connected: {0}")]
     Unsent(String),
-    /// No part of the request was sent: nothing listens at the address.
-    #[error("not connected: {0}")]
-    Refused(String),
+    /// No part of the request was sent: the process of the server has ended. It closed connections
+    /// in order, and nothing listens at its address any more. A lost route or a reset is a
+    /// [`PoolError::Unsent`].
+    #[error("not connected, the process has ended: {0}")]
+    Ended(String),
     /// The request may have reached the server, but no response was received.
     #[error("{0}")]
     NoResponse(String),
     /// The request may have reached the server, which closed the connection in order without a
-    /// response. A lost route or a reset is a [`PoolError::NoResponse`].
+    /// response.
     #[error("{0}")]
     Closed(String),
 }
@@ -37,7 +43,7 @@
     /// Returns whether no part of the request was sent.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent(_) | Self::Refused(_))
+        matches!(self, Self::Unsent(_) | Self::Ended(_))
     }
 
     /// Classifies the failure of a request of which some part may have been sent.
@@ -48,15 +54,6 @@
             Self::NoResponse(e.to_string())
         }
     }
-
-    /// Classifies the failure of a connection attempt.
-    fn from_connect(e: &std::io::Error) -> Self {
-        if e.kind() == ErrorKind::ConnectionRefused {
-            Self::Refused(e.to_string())
-        } else {
-            Self::Unsent(e.to_string())
-        }
-    }
 }
 
 /// An idle connection.
@@ -73,6 +70,7 @@
     idle_timeout: Duration,
     connect_timeout: Duration,
     idle: Arc<Mutex<Vec<Idle>>>,
+    closes: ServerCloses,
 }
 
 /// A response and the connection that it was received on.
@@ -93,6 +91,7 @@
             idle_timeout,
             connect_timeout,
             idle: Arc::default(),
+            closes: ServerCloses::default(),
         }
     }
 
@@ -146,6 +145,11 @@
         });
     }
 
+    /// Forgets that the server closed connections, after the end of its process was reported.
+    pub fn forget_closes(&self) {
+        self.closes.forget();
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.idle
@@ -168,12 +172,10 @@
             .address
             .parse()
             .map_err(|e: std::net::AddrParseError| unsent(e.to_string()))?;
-        let connecting = timeout(self.connect_timeout, TcpStream::connect(address));
+        let connecting = ObservedStream::connect(address, self.closes.clone());
+        let connecting = timeout(self.connect_timeout, connecting);
         let stream = connecting.await.map_err(|e| unsent(e.to_string()))?;
-        let stream = stream.map_err(|e| PoolError::from_connect(&e))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|e| unsent(e.to_string()))?;
+        let stream = stream.map_err(|e| self.classify_connect(&e))?;
         let handshaken = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshaken.map_err(|e| unsent(e.to_string()))?;
         tokio::spawn(async move {
@@ -183,6 +185,16 @@
         });
         Ok(sender)
     }
+
+    /// Classifies the failure of a connection attempt.
+    fn classify_connect(&self, e: &std::io::Error) -> PoolError {
+        let is_refused = e.kind() == ErrorKind::ConnectionRefused;
+        if is_refused && self.closes.closed_within(PROCESS_END_WINDOW) {
+            PoolError::Ended(e.to_string())
+        } else {
+            PoolError::Unsent(e.to_string())
+        }
+    }
 }
 
 impl PooledResponse {
