Crashes of workers count against the tasks that ran there, wherever they start next

What callers saw: a task that crashes the worker that starts it was started again without a limit; with a long time limit a sixth time after five crashed workers, which breaks the platform's rule.

Cause: an end that the worker did not report as failed put the task back into the queue uncounted, in the memory of one VM. Class: retries without a budget, and a count that is lost with its holder.

Evidence: in the core's simulation 'TaskId ... started at: CrashRecord { crashes: 5, excess_starts: 3 }'; after the loss of the holder '3 workers crashed'.

Now each task that ran on a lost worker is a suspect by its identity. Holders tell one another at once, also before a suspect is tried again, so that a holder's death loses no count. A suspect runs alone, on another worker than before, so that a second crash points to it and costs no other task; then its job is given up, everywhere. A run that ends by itself clears it. What decides: workers lost within 20 ms without a task in common have a common cause (three or more); a draining worker makes no suspects; silence is not decisive, and is withdrawn when the same boot answers; a worker with three crashes that no task explains is not decisive. Tasks that had started last are tried again only while few workers are lost; else their jobs end at once.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -112,7 +112,9 @@
             systems::topology::run(world, cx);
         }
         systems::progress::run(world, cx);
+        systems::crashes::run(world, cx);
         systems::dispatch::run(world, cx);
+        systems::crashes::send_reports(world, cx);
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
@@ -164,6 +166,7 @@
             oldest_remote_load: remote_ages.min().map_or(Duration::ZERO, |known_at| {
                 world.last_active_at.unwrap_or_default().since(known_at)
             }),
+            suspects: world.suspects.len() as u64,
             held_workers: held.count() as u64,
             waiting_tasks: waiting.sum::<usize>() as u64,
             running: world
@@ -250,6 +253,7 @@
             systems::configuration::handle_request(world, cx, from, version);
         }
         Message::Queues(table) => systems::configuration::adopt(world, cx, table),
+        Message::Suspects(reports) => systems::crashes::handle_reports(world, cx, &reports),
     }
 }
 
--- a/crates/core/src/guarded/model/answer.rs
+++ b/crates/core/src/guarded/model/answer.rs
@@ -44,6 +44,8 @@
     Paused,
     /// The entry or the runner stopped before the job ended.
     Stopping,
+    /// Tasks of it or of its queue crash workers, and as many workers as may be risked are down.
+    Suspected,
 }
 
 impl RefusalCause {
@@ -68,6 +70,7 @@
             Self::RunnerLost => "runner_lost",
             Self::Paused => "paused",
             Self::Stopping => "stopping",
+            Self::Suspected => "suspected",
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/guarded/model/crash.rs
@@ -0,0 +1,31 @@
+//! Crashes of workers under tasks.
+
+use super::ids::WorkerId;
+use crate::model::time::Time;
+
+/// What is known of the cause of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// It points to the task, which was alone on a worker that does not crash by itself.
+    Decisive,
+    /// The task had started last of those on the worker.
+    Likely,
+    /// It does not tell the task from others or from the worker.
+    Unclear,
+    /// Another VM started the task alone on the worker, and has not told the end. The worker has
+    /// crashed unless the same boot of it answers.
+    Trial,
+}
+
+/// A worker that crashed while a task ran there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Boot of the worker, if it was known.
+    pub boot: Option<u64>,
+    /// What is known of the cause.
+    pub evidence: Evidence,
+    /// Time of the crash, or of the report of another VM.
+    pub at: Time,
+}
--- a/crates/core/src/guarded/model/job.rs
+++ b/crates/core/src/guarded/model/job.rs
@@ -1,6 +1,6 @@
 //! Jobs as clients submit them.
 
-use super::ids::{ClientJobId, QueueId, UpstreamId};
+use super::ids::{ClientJobId, QueueId, TaskId, UpstreamId};
 use super::resources::Resources;
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,4 +89,17 @@
     pub fn task_count(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
+
+    /// Iterates over the ids of the tasks of all steps, in step order.
+    pub fn task_ids(&self) -> impl Iterator<Item = TaskId> {
+        let job = self.id;
+        (0..).zip(&self.steps).flat_map(move |(step, shape)| {
+            (0..shape.count).map(move |index| TaskId {
+                job,
+                repetition: 0,
+                step,
+                index,
+            })
+        })
+    }
 }
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -2,7 +2,8 @@
 
 use super::answer::Answer;
 use super::cell::{Cell, HolderLoad};
-use super::ids::{ClientJobId, WorkerId};
+use super::crash::{Crash, Evidence};
+use super::ids::{ClientJobId, TaskId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
 use crate::model::incarnation::Incarnation;
@@ -40,6 +41,41 @@
     },
     /// The configuration, in reply to a request.
     Queues(Arc<QueueTable>),
+    /// What the sender learned of tasks under which workers crashed.
+    Suspects(Vec<SuspectReport>),
+}
+
+/// What a VM learned of a task under which a worker crashed. The task may start at any VM next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectReport {
+    /// A worker crashed while the task ran there, or will have if it is not heard of again.
+    Crashed {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+        /// Boot of the worker, if it was known.
+        boot: Option<u64>,
+        /// What is known of the cause.
+        evidence: Evidence,
+    },
+    /// The task did not cause the crash of this worker.
+    Withdrawn {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// A run of the task ended by itself.
+    Cleared {
+        /// The task.
+        task: TaskId,
+    },
+    /// The job of the task is given up.
+    GivenUp {
+        /// The task.
+        task: TaskId,
+    },
 }
 
 /// State that an entry VM sends to its peers at short intervals.
@@ -82,3 +118,16 @@
     /// Time since the relay received the load.
     pub age: Duration,
 }
+
+impl SuspectReport {
+    /// Returns the report of a crash.
+    #[must_use]
+    pub const fn crashed(task: TaskId, crash: &Crash) -> Self {
+        Self::Crashed {
+            task,
+            worker: crash.worker,
+            boot: crash.boot,
+            evidence: crash.evidence,
+        }
+    }
+}
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod cell;
+pub mod crash;
 pub mod ids;
 pub mod job;
 pub mod message;
--- a/crates/core/src/guarded/model/reply.rs
+++ b/crates/core/src/guarded/model/reply.rs
@@ -13,6 +13,8 @@
     Stopped,
     /// The run was stopped because the lease expired.
     Lapsed,
+    /// The run was lost with its worker, whose process ended.
+    Crashed,
     /// The run ended in another way that does not count as a failure of the task.
     Broken,
 }
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -35,6 +35,14 @@
     pub expired_leases: u64,
     /// Ejections of workers for failures.
     pub ejections: u64,
+    /// Workers that were lost with their runs.
+    pub lost_workers: u64,
+    /// Jobs given up because a task of them crashes its workers.
+    pub given_up: u64,
+    /// Jobs ended because a task of them probably crashed a worker and was not tried again.
+    pub set_aside: u64,
+    /// Tasks currently suspected of crashing their workers.
+    pub suspects: u64,
     /// Peers that are currently connected.
     pub linked_peers: u64,
     /// Relays of this data centre, as this VM knows them.
--- a/crates/core/src/guarded/systems/cell_assignment.rs
+++ b/crates/core/src/guarded/systems/cell_assignment.rs
@@ -42,7 +42,9 @@
     for row in rows.filter(|row| is_claimed(world, &row.entry)) {
         if row.is_usable(now, stale_after) {
             load.capacity_milli += row.entry.capacity.cpu_milli;
-            load.free_milli += row.free().cpu_milli;
+            if row.reserved_for.is_none() {
+                load.free_milli += row.free().cpu_milli;
+            }
         } else if row.is_usable_soon(now) {
             load.capacity_milli += row.entry.capacity.cpu_milli;
         }
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -1,5 +1,6 @@
 //! Scheduling: chooses the next task to start and the worker to start it on.
 
+use super::{crashes, quarantine};
 use crate::guarded::action::{Action, Start};
 use crate::guarded::model::ids::{ClientJobId, RunId, TaskId, WorkerId};
 use crate::guarded::model::job::Step;
@@ -34,6 +35,7 @@
 
 /// Starts waiting tasks while workers have free capacity.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    quarantine::run(world, cx);
     if !has_free_worker(world, cx.now) {
         return;
     }
@@ -104,6 +106,10 @@
     let mut starts = Vec::new();
     for task in due {
         let Some(worker) = choose_worker(world, cx.now, task) else {
+            // The others may start on workers that a suspect can't use.
+            if world.suspects.get(task).is_some() {
+                continue;
+            }
             break;
         };
         if let Some(run) = start_run(world, cx, task, worker) {
@@ -226,6 +232,7 @@
         && row.is_usable(now, world.policy.worker_stale_after)
         && row.admits_run()
         && row.free().can_fit(&step.need)
+        && quarantine::admits(world, now, row, task)
         && step
             .label
             .as_ref()
@@ -265,6 +272,7 @@
     let predicted = predict_run_time(world, cx.now, row, step);
     let (need, estimate): (Resources, Duration) = (step.need, step.estimate);
     let payload = Arc::clone(&job.job.payload);
+    let queue = job.job.settings.queue;
     let job = world.jobs.get_mut(&task.job)?;
     job.started = true;
     let row = job.task_mut(task)?;
@@ -276,10 +284,18 @@
     row.next_run += 1;
     row.state = TaskState::Active(worker);
     world.stats.starts += 1;
+    if world.suspects.get(task).is_some()
+        && let Some(row) = world.workers.get_mut(&worker)
+        && row.runs.is_empty()
+    {
+        row.reserved_for = Some(task);
+        crashes::report_trial(world, cx.now, task, worker);
+    }
     world.add_run(
         worker,
         Run {
             id: run,
+            queue: Some(queue),
             need,
             state: RunState::Starting,
             requested_at: cx.now,
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -2,11 +2,12 @@
 //! [`crate::guarded::world::World`].
 //!
 //! Each tick runs the systems in a fixed order. A system leaves results for others in the tables or
-//! in the queues of the world, and does not call a system that runs before it. The exception is
-//! [`holds::begin_acquisition`], which [`polls`] and [`stops`] call.
+//! in the queues of the world, and does not call a system that runs before it. The exceptions are
+//! [`holds::begin_acquisition`] and [`crashes::record_loss`], which [`polls`] and [`stops`] call.
 
 pub mod cell_assignment;
 pub mod configuration;
+pub mod crashes;
 pub mod dispatch;
 pub mod entry;
 pub mod heartbeats;
@@ -15,6 +16,7 @@
 pub mod placement;
 pub mod polls;
 pub mod progress;
+pub mod quarantine;
 pub mod run_list;
 pub mod runner;
 pub mod starts;
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -1,12 +1,12 @@
 //! Polls of workers, which renew leases and report ended and current runs.
 
+use super::crashes;
 use super::holds;
-use super::run_list::RunList;
 use crate::guarded::action::{Action, Poll};
 use crate::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
 use crate::guarded::model::resources::Resources;
-use crate::guarded::tables::worker::{Hold, PendingPoll, Run, RunState, Worker};
+use crate::guarded::tables::worker::{Hold, PendingPoll, Run, RunState, Worker, WorkerEnd};
 use crate::guarded::world::{Cx, World};
 use crate::model::time::Time;
 use std::time::Duration;
@@ -132,24 +132,16 @@
         PollReply::Fenced if is_probe => handle_reachable(row, cx.now),
         PollReply::Listed(status) => handle_status(world, cx, id, pending.sent_at, status),
         PollReply::Fenced => handle_fenced(world, cx.now, id),
-        PollReply::OtherBoot => handle_replaced(world, cx.now, id),
-        PollReply::Ended => handle_ended(world, cx.now, id),
+        PollReply::OtherBoot => handle_replaced(world, cx, id),
+        PollReply::Ended => handle_ended(world, cx, id),
         PollReply::Silent => handle_unanswered(world, cx.now, id),
     }
 }
 
 /// Handles the end of the worker's process.
-fn handle_ended(world: &mut World, now: Time, id: WorkerId) {
-    let Some(row) = world.workers.get(&id) else {
-        return;
-    };
-    tracing::warn!(
-        worker = %id,
-        draining = row.entry.draining,
-        runs = %RunList { now, runs: &row.runs },
-        "the process of the worker has ended"
-    );
-    handle_unanswered(world, now, id);
+fn handle_ended(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
+    crashes::record_loss(world, cx, id, WorkerEnd::Ended);
+    handle_unanswered(world, cx.now, id);
 }
 
 /// Handles the answer of an unreachable worker to a probe.
@@ -221,18 +213,18 @@
 
 /// Handles an answer of another worker at the address. The intended worker is gone with all its
 /// runs, and no request in flight to it can start a run.
-pub fn handle_replaced(world: &mut World, now: Time, id: WorkerId) {
+pub fn handle_replaced(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
+    let now = cx.now;
     tracing::info!(
         worker = %id,
         "another worker answers at the address of this one; its runs have ended"
     );
+    crashes::record_loss(world, cx, id, WorkerEnd::Replaced);
     world.end_all_runs(id, RunEnd::Broken);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
-    row.clear_clock(now);
-    row.boot = None;
-    row.last_seen = 0;
+    row.forget_boot(now);
     row.poll = None;
     row.hold = Hold::Fenced(now + REPLACED_RETRY_DELAY);
 }
@@ -241,12 +233,15 @@
 /// counts as present until the worker has answered a poll under a new token.
 fn handle_reboot(world: &mut World, cx: &Cx<'_>, id: WorkerId, boot: Option<u64>) {
     tracing::info!(worker = %id, boot, "worker has rebooted; acquiring it again");
+    crashes::record_loss(world, cx, id, WorkerEnd::Replaced);
+    if let Some(loss) = world.workers.get_mut(&id).and_then(|row| row.loss.as_mut()) {
+        loss.end = WorkerEnd::Replaced;
+    }
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
-    row.clear_clock(cx.now);
+    row.forget_boot(cx.now);
     row.boot = boot;
-    row.last_seen = 0;
     row.mark_all_stopping();
     holds::begin_acquisition(world, cx, id);
 }
@@ -265,6 +260,14 @@
         handle_reboot(world, cx, id, status.boot);
         return;
     }
+    let was_silent = row.loss.is_some_and(|loss| loss.end == WorkerEnd::Silent);
+    if was_silent && row.boot.is_some() {
+        row.loss = None;
+        crashes::withdraw_silence(world, id);
+    }
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
     row.boot = status.boot.or(row.boot);
     row.last_answer_at = cx.now;
     row.unanswered_polls = 0;
@@ -280,6 +283,7 @@
     }
     if row.hold == Hold::Acquiring && row.runs.is_empty() {
         row.held_since = cx.now;
+        row.loss = None;
         row.hold = Hold::Held;
         tracing::info!(worker = %id, token = row.token.0, "worker acquired");
     }
@@ -346,6 +350,7 @@
         estimate: Duration::ZERO,
         predicted: Duration::ZERO,
         start_requests: 0,
+        queue: None,
     };
     if let Some(row) = world.workers.get_mut(&worker) {
         row.assume_max_lease(now);
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,6 +1,6 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
-use super::{cell_assignment, stops};
+use super::{cell_assignment, crashes, quarantine, stops};
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
@@ -8,8 +8,10 @@
 use crate::guarded::model::job::Job;
 use crate::guarded::model::message::Message;
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
+use crate::guarded::tables::suspects::Suspect;
 use crate::guarded::world::{Cx, FinishedJob, World};
 use crate::model::incarnation::Incarnation;
+use crate::model::time::Time;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -45,6 +47,12 @@
         }
         return;
     }
+    crashes::resolve_trials(world, &job);
+    if let Some(answer) = check_suspects(world, cx.now, &job) {
+        tracing::info!(job = %id, ?answer, "a task of the job crashed workers before");
+        answer_origin(world, cx, origin, id, answer);
+        return;
+    }
     if let Some(answer) = check_admission(world, cx, &job, age) {
         tracing::info!(job = %id, ?answer, tasks = job.task_count(), "job refused");
         answer_origin(world, cx, origin, id, answer);
@@ -54,6 +62,16 @@
     world.jobs.insert(id, row);
 }
 
+/// Returns the answer to a job that is not started, because a task of it crashed workers before.
+fn check_suspects(world: &World, now: Time, job: &Job) -> Option<Answer> {
+    let suspects = &world.suspects;
+    if suspects.find_in(job, |row| row.is_given_up).is_some() {
+        return Some(Answer::Failed);
+    }
+    suspects.find_in(job, Suspect::is_likely)?;
+    (!quarantine::may_try(world, now)).then_some(Answer::Lost(LossCause::Suspected))
+}
+
 /// Returns the refusal of a job that this VM can't accept, or `None` if it can.
 fn check_admission(world: &World, cx: &Cx<'_>, job: &Job, age: Duration) -> Option<Answer> {
     if !world.is_serving() {
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -45,7 +45,7 @@
             handle_unanswered(world, cx, worker, id);
         }
         StartReply::Fenced => polls::handle_fenced(world, cx.now, worker),
-        StartReply::OtherBoot => polls::handle_replaced(world, cx.now, worker),
+        StartReply::OtherBoot => polls::handle_replaced(world, cx, worker),
         StartReply::NoRoom
         | StartReply::Late
         | StartReply::OldRun
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -1,10 +1,11 @@
 //! Stopping of runs, by request or by the expiry of a worker's lease.
 
+use super::crashes;
 use super::polls;
 use crate::guarded::action::Action;
 use crate::guarded::model::ids::{RunId, WorkerId};
 use crate::guarded::model::reply::{RunEnd, StopReply};
-use crate::guarded::tables::worker::{Hold, RunState};
+use crate::guarded::tables::worker::{Hold, RunState, WorkerEnd};
 use crate::guarded::world::{Cx, World};
 use crate::model::time::Time;
 use std::time::Duration;
@@ -66,7 +67,7 @@
             }
         }
         StopReply::Fenced => polls::handle_fenced(world, cx.now, worker),
-        StopReply::OtherBoot => polls::handle_replaced(world, cx.now, worker),
+        StopReply::OtherBoot => polls::handle_replaced(world, cx, worker),
         StopReply::Silent => world.stats.unanswered_requests += 1,
     }
 }
@@ -104,10 +105,15 @@
     for id in expired {
         world.stats.expired_leases += 1;
         tracing::warn!(worker = %id, "worker lease expired; its runs have ended");
+        let held = world
+            .workers
+            .get(&id)
+            .is_some_and(|row| row.hold == Hold::Held);
+        if held {
+            crashes::record_loss(world, cx, id, WorkerEnd::Silent);
+        }
         world.end_all_runs(id, RunEnd::Lapsed);
-        if let Some(row) = world.workers.get(&id)
-            && row.hold == Hold::Held
-        {
+        if held {
             super::holds::begin_acquisition(world, cx, id);
         }
     }
--- a/crates/core/src/guarded/tables/peer.rs
+++ b/crates/core/src/guarded/tables/peer.rs
@@ -77,6 +77,12 @@
             .map_or(1, |heartbeat| heartbeat.weight)
     }
 
+    /// Returns whether the peer is a relay of its data centre.
+    pub fn is_relay(&self) -> bool {
+        let heartbeat = self.heartbeat.as_ref();
+        heartbeat.is_some_and(|heartbeat| heartbeat.is_relay)
+    }
+
     /// Returns whether the peer claims a cell.
     pub fn claims(&self, cell: &Cell) -> bool {
         let heartbeat = self.heartbeat.as_ref();
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -73,16 +73,8 @@
         );
         let path = critical_path(&job, |estimate| estimator.predict(estimate, None));
         let objective = path.mul_f64(job.settings.stretch) + job.settings.target;
-        let tasks = job.steps.iter().enumerate().flat_map(|(step, shape)| {
-            (0..shape.count).map(move |index| (u32::try_from(step).unwrap_or(u32::MAX), index))
-        });
-        let tasks = tasks.map(|(step, index)| Task {
-            id: TaskId {
-                job: job.id,
-                repetition: 0,
-                step,
-                index,
-            },
+        let tasks = job.task_ids().map(|id| Task {
+            id,
             state: TaskState::Waiting,
             last_run: 0,
             next_run: 1,
--- /dev/null
+++ b/crates/core/src/guarded/tables/suspects.rs
@@ -0,0 +1,186 @@
+//! Tasks under which workers have crashed.
+
+use crate::collections::FastMap;
+use crate::guarded::model::crash::{Crash, Evidence};
+use crate::guarded::model::ids::{QueueId, TaskId, WorkerId};
+use crate::guarded::model::job::Job;
+use crate::model::time::Time;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Retention time of a suspect. A client whose answer was lost submits its job again within this
+/// time.
+const RETENTION: Duration = Duration::from_secs(30);
+/// Maximum number of suspects.
+const MAX_SUSPECTS: usize = 20_000;
+/// Number of crashed workers after which a task is given up, if the last crash points to it.
+const MAX_CRASHES: usize = 2;
+/// Number of crashed workers after which a task is given up in any case.
+const MAX_SHARED_CRASHES: usize = 3;
+
+/// A task under which a worker has crashed.
+#[derive(Clone, Debug, Default)]
+pub struct Suspect {
+    /// Queue of its job; `None` if this VM does not know the job.
+    pub queue: Option<QueueId>,
+    /// Crashes, in the order in which they became known.
+    pub crashes: Vec<Crash>,
+    /// Whether its last crash is still to be judged: it may have a cause that other workers share.
+    pub is_pending: bool,
+    /// Whether its job is given up.
+    pub is_given_up: bool,
+}
+
+impl Suspect {
+    /// Returns whether its crashes show that the task causes them.
+    fn is_guilty(&self) -> bool {
+        let last = self.crashes.last();
+        let decisive = last.is_some_and(|crash| crash.evidence == Evidence::Decisive);
+        decisive && self.crashes.len() >= MAX_CRASHES || self.crashes.len() >= MAX_SHARED_CRASHES
+    }
+
+    /// Returns whether it is more likely than others to have caused its last crash.
+    #[must_use]
+    pub fn is_likely(&self) -> bool {
+        let last = self.crashes.last();
+        last.is_some_and(|crash| matches!(crash.evidence, Evidence::Decisive | Evidence::Likely))
+    }
+
+    /// Returns whether a boot of this worker crashed under the task.
+    #[must_use]
+    pub fn crashed(&self, worker: WorkerId) -> bool {
+        self.crashes.iter().any(|crash| crash.worker == worker)
+    }
+}
+
+/// The tasks under which workers have crashed, by their identity, so that a crash counts wherever
+/// the task starts next.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    rows: FastMap<TaskId, Suspect>,
+    insertion_order: VecDeque<(Time, TaskId)>,
+}
+
+impl Suspects {
+    /// Returns the state of a task; `None` if no worker crashed under it.
+    #[must_use]
+    pub fn get(&self, task: TaskId) -> Option<&Suspect> {
+        self.rows.get(&task)
+    }
+
+    /// Returns whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns the number of suspects.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Iterates over the suspects that were added last, newest first.
+    pub fn newest(&self) -> impl Iterator<Item = (TaskId, &Suspect)> {
+        let tasks = self.insertion_order.iter().rev();
+        tasks.filter_map(|&(_, task)| Some((task, self.rows.get(&task)?)))
+    }
+
+    /// Records that a worker crashed under a task. A crash of the same boot counts once.
+    pub fn record(&mut self, task: TaskId, queue: Option<QueueId>, crash: Crash) {
+        let row = self.row(crash.at, task);
+        row.queue = row.queue.or(queue);
+        let mut known = row.crashes.iter_mut();
+        let known = known.find(|known| (known.worker, known.boot) == (crash.worker, crash.boot));
+        match known {
+            Some(known) if known.evidence == Evidence::Trial => *known = crash,
+            Some(_) => {}
+            None => row.crashes.push(crash),
+        }
+    }
+
+    /// Holds a task back until its last crash is judged.
+    pub fn hold(&mut self, task: TaskId) {
+        if let Some(row) = self.rows.get_mut(&task) {
+            row.is_pending = true;
+        }
+    }
+
+    /// Replaces what is known of the cause of a crash.
+    pub fn set_evidence(&mut self, task: TaskId, worker: WorkerId, evidence: Evidence) {
+        if let Some(row) = self.rows.get_mut(&task) {
+            let crashes = row.crashes.iter_mut();
+            for crash in crashes.filter(|crash| crash.worker == worker) {
+                crash.evidence = evidence;
+            }
+        }
+    }
+
+    /// Returns the suspects under which a boot of this worker crashed.
+    #[must_use]
+    pub fn crashed_on(&self, worker: WorkerId) -> Vec<TaskId> {
+        let rows = self.rows.iter().filter(|(_, row)| row.crashed(worker));
+        rows.map(|(&task, _)| task).collect()
+    }
+
+    /// Withdraws a crash, because the task was not its cause.
+    pub fn withdraw(&mut self, task: TaskId, worker: WorkerId) {
+        if let Some(row) = self.rows.get_mut(&task) {
+            row.crashes.retain(|crash| crash.worker != worker);
+            row.is_pending = false;
+            if row.crashes.is_empty() && !row.is_given_up {
+                self.rows.remove(&task);
+            }
+        }
+    }
+
+    /// Judges the crashes of a task. Returns whether its job is to be given up.
+    pub fn judge(&mut self, task: TaskId) -> bool {
+        let Some(row) = self.rows.get_mut(&task) else {
+            return false;
+        };
+        row.is_pending = false;
+        row.is_given_up |= row.is_guilty();
+        row.is_given_up
+    }
+
+    /// Records that another VM has given up the job of a task.
+    pub fn give_up(&mut self, now: Time, task: TaskId) {
+        self.row(now, task).is_given_up = true;
+    }
+
+    /// Removes a task that has ended by itself, unless its job is given up.
+    pub fn clear(&mut self, task: TaskId) {
+        if self.rows.get(&task).is_some_and(|row| !row.is_given_up) {
+            self.rows.remove(&task);
+        }
+    }
+
+    /// Returns the first task of a job for which `condition` holds.
+    pub fn find_in(&self, job: &Job, condition: impl Fn(&Suspect) -> bool) -> Option<TaskId> {
+        if self.rows.is_empty() {
+            return None;
+        }
+        let mut tasks = job.task_ids();
+        tasks.find(|&task| self.get(task).is_some_and(&condition))
+    }
+
+    /// Returns the row of a task, which is added if there is none.
+    fn row(&mut self, now: Time, task: TaskId) -> &mut Suspect {
+        self.evict(now);
+        self.rows.entry(task).or_insert_with(|| {
+            self.insertion_order.push_back((now, task));
+            Suspect::default()
+        })
+    }
+
+    fn evict(&mut self, now: Time) {
+        while let Some(&(at, oldest)) = self.insertion_order.front() {
+            if now.since(at) < RETENTION && self.insertion_order.len() <= MAX_SUSPECTS {
+                break;
+            }
+            self.insertion_order.pop_front();
+            self.rows.remove(&oldest);
+        }
+    }
+}
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -1,6 +1,6 @@
 //! Workers as this VM sees them: lease, runs, clock and health.
 
-use crate::guarded::model::ids::{FencingToken, RunId, TaskId};
+use crate::guarded::model::ids::{FencingToken, QueueId, RunId, TaskId};
 use crate::guarded::model::resources::Resources;
 use crate::guarded::model::worker::WorkerEntry;
 use crate::guarded::policy::CLOCK_SLACK;
@@ -21,6 +21,9 @@
 /// Time in which the excess of the slowdown factor over 1 halves without new observations.
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Time for which crashes of a worker count.
+const CRASH_WINDOW: Duration = Duration::from_secs(30);
+
 /// Maximum remaining delay with which the next attempt to acquire a worker counts as imminent.
 const IMMINENT_WITHIN: Duration = Duration::from_millis(100);
 
@@ -76,6 +79,28 @@
     pub predicted: Duration,
     /// Number of start requests sent; 0 for a run that another VM started.
     pub start_requests: u32,
+    /// Queue of its job; `None` for a run that another VM started.
+    pub queue: Option<QueueId>,
+}
+
+/// How the end of a worker became known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerEnd {
+    /// Its process ended.
+    Ended,
+    /// Another boot or another worker answers in its place.
+    Replaced,
+    /// It was silent until its lease expired.
+    Silent,
+}
+
+/// The loss of a worker with its runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Loss {
+    /// Time of the loss.
+    pub at: Time,
+    /// How it became known.
+    pub end: WorkerEnd,
 }
 
 /// A poll in flight.
@@ -104,6 +129,9 @@
     /// Factor by which its runs take longer than on other workers of its kind.
     slowdown: f64,
     observed_at: Time,
+    /// Number of recent crashes that no task explains.
+    unexplained_crashes: u32,
+    last_crash_at: Time,
 }
 
 /// State of a worker in the registry, whether or not this VM holds it.
@@ -141,6 +169,10 @@
     pub next_probe_at: Time,
     /// Time until which it counts as full, regardless of `used`.
     pub full_until: Time,
+    /// Suspect that has the worker for itself: it runs there, or starts there next.
+    pub reserved_for: Option<TaskId>,
+    /// Its last loss with its runs; `None` since it was acquired.
+    pub loss: Option<Loss>,
     clock: Option<ClockSample>,
     lease_end_ms: u64,
     /// Time since which the clock of the current boot is unknown.
@@ -167,6 +199,8 @@
             health: Health::default(),
             next_probe_at: Time::ZERO,
             full_until: Time::ZERO,
+            reserved_for: None,
+            loss: None,
             clock: None,
             lease_end_ms: 0,
             clock_unknown_since: None,
@@ -196,8 +230,11 @@
         self.extend_lease(now, MAX_LEASE);
     }
 
-    /// Discards the clock readings, since a new boot has a new clock.
-    pub const fn clear_clock(&mut self, now: Time) {
+    /// Discards what is known of the worker's boot. A new boot has a new clock and numbers its ended
+    /// runs anew.
+    pub const fn forget_boot(&mut self, now: Time) {
+        self.boot = None;
+        self.last_seen = 0;
         self.clock = None;
         self.lease_end_ms = 0;
         self.clock_unknown_since = Some(now);
@@ -278,6 +315,9 @@
     pub fn remove_run(&mut self, task: TaskId) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.used -= run.need;
+        if self.reserved_for == Some(task) {
+            self.reserved_for = None;
+        }
         Some(run)
     }
 }
@@ -289,6 +329,8 @@
             ejected_until: Time::ZERO,
             slowdown: 1.0,
             observed_at: Time::ZERO,
+            unexplained_crashes: 0,
+            last_crash_at: Time::ZERO,
         }
     }
 }
@@ -321,6 +363,21 @@
         true
     }
 
+    /// Records a crash. Returns the number of recent crashes that no task explains, with this one.
+    pub fn record_crash(&mut self, now: Time) -> u32 {
+        if now.since(self.last_crash_at) > CRASH_WINDOW {
+            self.unexplained_crashes = 0;
+        }
+        self.unexplained_crashes += 1;
+        self.last_crash_at = now;
+        self.unexplained_crashes
+    }
+
+    /// Records that a task was found to be the cause of a crash.
+    pub const fn explain_crash(&mut self) {
+        self.unexplained_crashes = self.unexplained_crashes.saturating_sub(1);
+    }
+
     /// Returns the present slowdown factor, which decays towards 1 without observations.
     pub fn slowdown(&self, now: Time) -> f64 {
         let half_lives =
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -4,16 +4,19 @@
 use super::model::answer::Answer;
 use super::model::cell::Cell;
 use super::model::ids::{ClientJobId, FencingToken, RunId, TaskId, WorkerId};
+use super::model::message::SuspectReport;
 use super::model::queue::QueueTable;
 use super::model::reply::RunEnd;
 use super::policy::Policy;
 use super::stats::Stats;
+use super::systems::crashes::WorkerLoss;
 use super::tables::entry_job::EntryJob;
 use super::tables::estimator::Estimator;
 use super::tables::peer::Peer;
 use super::tables::recent::RecentOutcomes;
 use super::tables::remote_holder::RemoteHolderRow;
 use super::tables::runner_job::RunnerJob;
+use super::tables::suspects::Suspects;
 use super::tables::topology::Topology;
 use super::tables::vm_directory::VmDirectory;
 use super::tables::worker::{Run, Worker};
@@ -115,6 +118,12 @@
     /// Number of runs per task that are present or may be, on any worker.
     pub present_runs: FastMap<TaskId, u32>,
     pub recent: RecentOutcomes,
+    /// Tasks under which workers crashed, here or elsewhere.
+    pub suspects: Suspects,
+    /// What `systems::crashes` tells the other holders.
+    pub suspect_reports: Vec<SuspectReport>,
+    /// Workers that were lost a moment ago, which `systems::crashes` judges.
+    pub losses: Vec<WorkerLoss>,
     pub estimator: Estimator,
     pub mean_run_ms: f64,
     next_poll_number: u64,
@@ -172,6 +181,9 @@
             jobs: FastMap::default(),
             present_runs: FastMap::default(),
             recent: RecentOutcomes::default(),
+            suspects: Suspects::default(),
+            suspect_reports: Vec::new(),
+            losses: Vec::new(),
             estimator: Estimator::default(),
             mean_run_ms: DEFAULT_MEAN_RUN_MS,
             next_poll_number: 0,
--- a/crates/core/tests/guarded/crashes.rs
+++ b/crates/core/tests/guarded/crashes.rs
@@ -115,7 +115,6 @@
 simulation_tests! {
     /// Guards against a deadly task that crashes workers anew at another VM: its crashes were known
     /// to one VM only, and lost with it.
-    #[ignore = "known failure, see KNOWN-RED.txt"]
     crashes_are_counted_after_the_holder_is_lost(TWELVE_WORKERS) => |sim| {
         for _ in 0..4 {
             let holder = sim.holder(0);
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -4,8 +4,10 @@
 //! in microseconds.
 
 mod heartbeat;
+mod suspect;
 
 use self::heartbeat::HeartbeatWire;
+use self::suspect::SuspectReportWire;
 use crate::peers::{PeerMessage, WireError};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId};
@@ -17,6 +19,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum number of reports on suspects of one message that are read.
+const MAX_SUSPECT_REPORTS: usize = 1_024;
 /// Maximum nesting depth of a frame.
 const MAX_DEPTH: usize = 16;
 
@@ -53,6 +57,8 @@
     RequestQueues(u64),
     #[serde(rename = "q")]
     Queues(u64, u64, Vec<QueueWire>),
+    #[serde(rename = "c")]
+    Suspects(Vec<SuspectReportWire>),
 }
 
 /// `id`, `settings`, `payload`, `steps`, `client_timeout`.
@@ -96,11 +102,12 @@
 ];
 
 /// Loss causes by wire code.
-const LOSS_CAUSES: [LossCause; 4] = [
+const LOSS_CAUSES: [LossCause; 5] = [
     LossCause::DeadlinePassed,
     LossCause::RunnerLost,
     LossCause::Paused,
     LossCause::Stopping,
+    LossCause::Suspected,
 ];
 
 fn micros(span: Duration) -> u64 {
@@ -127,6 +134,7 @@
                 table.max_body_bytes,
                 table.iter().map(QueueWire::from).collect(),
             ),
+            Message::Suspects(reports) => Self::Suspects(reports.iter().map(Into::into).collect()),
         }
     }
 }
@@ -154,6 +162,11 @@
                 let queues = queues.collect::<Result<_, _>>()?;
                 Self::Queues(Arc::new(QueueTable::new(version, queues, max_body_bytes)))
             }
+            MessageWire::Suspects(reports) => {
+                let reports = reports.into_iter().take(MAX_SUSPECT_REPORTS);
+                let reports = reports.map(TryInto::try_into);
+                Self::Suspects(reports.collect::<Result<_, _>>()?)
+            }
         })
     }
 }
