Runs on a worker whose process has ended start again at once

Cause: the end of a worker's process was handled as silence. Silence keeps its runs until the lease has expired, and polls that are not answered asked for new leases, so the runs counted as present until another worker answered 3.3 s later. Class: absence of an answer taken for absence of knowledge.

Nothing runs in a process that has ended, so the tasks of its confirmed runs may start elsewhere. A start that was not answered may still reach the next boot; it counts as present for as long as a lease could last, as before.

runs_on_a_crashed_worker_start_again_at_once (not completed) and a_task_that_crashed_two_workers_is_not_started_again (answered after more than 500 ms) failed before and pass.

--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -3,7 +3,7 @@
 use super::crashes;
 use super::holds;
 use crate::guarded::action::{Action, Poll};
-use crate::guarded::model::ids::{FencingToken, RunId, WorkerId};
+use crate::guarded::model::ids::{FencingToken, RunId, TaskId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
 use crate::guarded::model::resources::Resources;
 use crate::guarded::tables::worker::{Hold, PendingPoll, Run, RunState, Worker, WorkerEnd};
@@ -138,9 +138,28 @@
     }
 }
 
-/// Handles the end of the worker's process.
+/// Handles the end of the worker's process. Nothing runs there any more, so the tasks of confirmed
+/// runs may start elsewhere. A start that was not answered may still be carried out by the next boot
+/// of the worker; it counts as present until its lease would have expired.
 fn handle_ended(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
+    if world.workers.get(&id).is_some_and(|row| row.loss.is_some()) {
+        handle_unanswered(world, cx.now, id);
+        return;
+    }
     crashes::record_loss(world, cx, id, WorkerEnd::Ended);
+    let Some(row) = world.workers.get_mut(&id) else {
+        return;
+    };
+    let is_confirmed = |run: &&Run| matches!(run.state, RunState::Running(_));
+    let confirmed = row.runs.values().filter(is_confirmed);
+    let confirmed: Vec<TaskId> = confirmed.map(|run| run.id.task).collect();
+    row.forget_boot(cx.now);
+    row.mark_all_stopping();
+    for task in confirmed {
+        world.end_run(id, task, Some(RunEnd::Crashed));
+    }
+    holds::begin_acquisition(world, cx, id);
+    // It is not usable soon.
     handle_unanswered(world, cx.now, id);
 }
 
--- a/crates/core/tests/guarded/crashes.rs
+++ b/crates/core/tests/guarded/crashes.rs
@@ -38,7 +38,6 @@
 
 simulation_tests! {
     /// Guards against a task that crashes worker after worker: ends by a crash were not counted.
-    #[ignore = "known failure, see KNOWN-RED.txt"]
     a_task_that_crashed_two_workers_is_not_started_again(TWELVE_WORKERS) => |sim| {
         let id = sim.submit_shape(0, DEADLY);
         sim.advance(20_000);
@@ -50,7 +49,6 @@
 
     /// Guards against jobs that wait for the restart of a crashed worker: the end of its process was
     /// taken for silence.
-    #[ignore = "known failure, see KNOWN-RED.txt"]
     runs_on_a_crashed_worker_start_again_at_once(TWELVE_WORKERS) => |sim| {
         let ids: Vec<_> = (0..8).map(|_| sim.submit(0, 2, 200, 0)).collect();
         sim.advance(50);
