Leave the lease of a silent worker to expire

Cause: polls and repeated starts that were not answered asked for a new end of the lease, so as its holder reckons, it never expired. Class: a permission that is renewed without an answer.

Polls of a worker that has been silent for 250 ms leave its lease as it is; the lease expires about a second after its last answer, and its tasks start elsewhere. silent_workers_keep_their_runs still holds. tasks_of_a_dark_worker_start_elsewhere failed before (not completed) and passes; lost_ways_to_workers_condemn_no_task is new.

--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -95,7 +95,8 @@
     let is_responsive = cx.now.since(row.last_answer_at) < policy.worker_stale_after;
     let (lease_end_ms, wait) = match row.hold {
         Hold::Held if is_responsive => (row.extend_lease(cx.now, policy.lease), policy.poll_wait),
-        Hold::Held => (row.extend_lease(cx.now, policy.lease), Duration::ZERO),
+        // The lease of a silent worker is left to expire, so that its tasks can start elsewhere.
+        Hold::Held => (None, Duration::ZERO),
         Hold::Acquiring if !row.runs.is_empty() => (None, ACQUIRING_POLL_WAIT),
         _ => (None, Duration::ZERO),
     };
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -92,12 +92,17 @@
 /// Handles an unanswered start by sending it again. The worker recognises the run if the first
 /// request was carried out.
 fn handle_unanswered(world: &mut World, cx: &mut Cx<'_>, worker: WorkerId, id: RunId) {
-    let lease = world.policy.lease;
+    let policy = world.policy;
     let Some(row) = world.workers.get_mut(&worker) else {
         return;
     };
     let held = row.hold == Hold::Held;
-    let lease_end_ms = row.extend_lease(cx.now, lease);
+    let is_responsive = cx.now.since(row.last_answer_at) < policy.worker_stale_after;
+    let lease_end_ms = if is_responsive {
+        row.extend_lease(cx.now, policy.lease)
+    } else {
+        None
+    };
     let token = row.token;
     let Some(run) = row.runs.get_mut(&id.task) else {
         return;
--- a/crates/core/tests/guarded/crashes.rs
+++ b/crates/core/tests/guarded/crashes.rs
@@ -239,3 +239,40 @@
         assert_eq!(running.count(), 0, "tasks of the job that still run");
     };
 }
+
+simulation_tests! {
+    /// Guards against tasks that wait for a worker which went dark: polls that were not answered kept
+    /// asking for a new lease, so it never expired.
+    tasks_of_a_dark_worker_start_elsewhere(TWELVE_WORKERS) => |sim| {
+        let ids: Vec<_> = (0..6).map(|vm| sim.submit(vm % 3, 2, 300, 0)).collect();
+        sim.advance(50);
+        for vm in 0..3 {
+            sim.cut_worker(vm, 0);
+        }
+        sim.advance(3_000);
+        for id in ids {
+            let took = sim.completed_in(id).expect("the job completes");
+            assert!(took <= 1_900, "the job took {took} ms");
+            assert_eq!(sim.history.jobs[&id].submissions, 1);
+        }
+    };
+
+    /// Guards against tasks that are condemned because the way to their workers was lost.
+    lost_ways_to_workers_condemn_no_task(TWELVE_WORKERS) => |sim| {
+        let ids: Vec<_> = (0..6).map(|vm| {
+            let shape = JobShape { tasks: 2, work_ms: 300, client_timeout_ms: 15_000, ..JobShape::default() };
+            sim.submit_shape(vm % 3, shape)
+        }).collect();
+        for worker in [0, 1, 2, 3] {
+            sim.advance(150);
+            for vm in 0..3 {
+                sim.cut_worker(vm, worker);
+            }
+        }
+        sim.advance(6_000);
+        sim.heal();
+        sim.advance(8_000);
+        assert!(!any_failed(sim));
+        assert_eq!(completed(sim, &ids), 6);
+    };
+}
