--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -52,6 +52,20 @@
     "worker reported a higher fencing token",
     &["a worker saw a higher token"],
 );
+const WORKER_LOST: Message = Message::new("worker lost with its runs", &[]);
+const TASK_SUSPECTED: Message = Message::new(
+    "task is suspected of crashing its worker; it runs alone next",
+    &[],
+);
+const JOB_GIVEN_UP: Message =
+    Message::new("giving up a job: a task of it crashes its workers", &[]);
+const JOB_SET_ASIDE: Message = Message::new(
+    "ending a job: a task of it probably crashed its worker, and others are being tried",
+    &[],
+);
+const QUEUE_CONTAINED: Message =
+    Message::new("the queue is contained: its tasks crash workers", &[]);
+const QUEUE_RELEASED: Message = Message::new("the queue is released", &[]);
 const PROCESS_STALLED: Message = Message::new(
     "the process stalled for too long; dropping all jobs",
     &["the process stood still; everything is given up"],
@@ -66,7 +80,9 @@
 
 /// Messages about a VM as a whole that are relevant to every job that the VM ran or placed with a
 /// peer.
-const VM_MESSAGES: [Message; 5] = [
+const VM_MESSAGES: [Message; 7] = [
+    QUEUE_CONTAINED,
+    QUEUE_RELEASED,
     PROCESS_STALLED,
     SHUTTING_DOWN,
     PROCESS_STARTED,
@@ -75,7 +91,21 @@
 ];
 
 /// Messages whose occurrences are counted as findings.
-const COUNTED_MESSAGES: [(Message, &str); 10] = [
+const COUNTED_MESSAGES: [(Message, &str); 15] = [
+    (WORKER_LOST, "workers lost with runs of it"),
+    (
+        TASK_SUSPECTED,
+        "times that a task of it became a suspect, which runs alone",
+    ),
+    (
+        JOB_GIVEN_UP,
+        "times that it was given up, because workers crashed under a task of it",
+    ),
+    (
+        JOB_SET_ASIDE,
+        "times that it ended because a task of it probably crashed its worker",
+    ),
+    (QUEUE_CONTAINED, "times that a VM contained a queue"),
     (
         START_UNANSWERED,
         "start requests without an answer from the worker",
@@ -177,7 +207,7 @@
 pub enum Cause {
     /// The job completed.
     Completed,
-    /// A task failed as many times as its queue allows.
+    /// A task failed as many times as its queue allows, or workers crashed under it.
     TaskFailed,
     /// The job was refused under load: it would have started too late.
     Overloaded,
@@ -187,6 +217,10 @@
     NoRunner,
     /// The job was refused: the VM that should have run it was shutting down.
     Stopping,
+    /// The job was refused: tasks of its queue crash workers, and its share of them was in use.
+    Contained,
+    /// Tasks of the job or of its queue crash workers, and no more workers were risked for it.
+    Suspected,
     /// The VM that ran the job was lost.
     RunnerLost,
     /// The process of the VM that the client called stalled.
@@ -213,6 +247,8 @@
             ("Refused { cause: Impossible", Self::Impossible),
             ("Refused { cause: NoRunner", Self::NoRunner),
             ("Refused { cause: Stopping", Self::Stopping),
+            ("Refused { cause: Contained", Self::Contained),
+            ("Lost(Suspected", Self::Suspected),
             ("Lost(RunnerLost", Self::RunnerLost),
             ("Lost(Paused", Self::Paused),
             ("Lost(Stopping", Self::ShutDown),
@@ -225,11 +261,19 @@
     const fn description(self) -> &'static str {
         match self {
             Self::Completed => "the job completed",
-            Self::TaskFailed => "a task failed as many times as its queue allows",
+            Self::TaskFailed => {
+                "a task failed as many times as its queue allows, or crashed its workers"
+            }
             Self::Overloaded => "refused under load: the job would have started too late",
             Self::Impossible => "refused: one of its tasks fits on no worker",
             Self::NoRunner => "refused: no VM held the workers at the time",
             Self::Stopping => "refused: the VM that should have run it was shutting down",
+            Self::Contained => {
+                "refused: tasks of its queue crash workers, and the queue's share of them was in use"
+            }
+            Self::Suspected => {
+                "ended: a task of it, or of its queue, crashes workers, and no more were risked for it"
+            }
             Self::RunnerLost => "the VM that ran the job was lost; the client resubmits it",
             Self::Paused => "the process of the VM that the client called stalled",
             Self::ShutDown => "the VM shut down before the job ended",
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -50,6 +50,11 @@
     },
     /// Crashes a worker, which starts again after a while.
     CrashWorker(usize),
+    /// Changes the capacity of a worker.
+    ResizeWorker {
+        worker: usize,
+        percent: u64,
+    },
     Kill {
         vm: usize,
         power: bool,
@@ -129,6 +134,8 @@
         2 => (vm.clone(), 1_u32..4, 1_000_u64..15_000)
             .prop_map(|(vm, tasks, timeout_ms)| Op::SubmitDeadly { vm, tasks, timeout_ms }),
         1 => worker.clone().prop_map(Op::CrashWorker),
+        1 => (worker.clone(), 40_u64..100)
+            .prop_map(|(worker, percent)| Op::ResizeWorker { worker, percent }),
         2 => (vm.clone(), any::<bool>()).prop_map(|(vm, power)| Op::Kill { vm, power }),
         3 => vm.clone().prop_map(Op::Boot),
         1 => vm.clone().prop_map(Op::Stop),
@@ -186,6 +193,7 @@
             sim.submit_shape(vm, shape);
         }
         Op::CrashWorker(worker) => sim.crash_and_restart(worker),
+        Op::ResizeWorker { worker, percent } => sim.resize_worker(worker, percent),
         Op::Kill { vm, power } => sim.kill(vm, power),
         Op::Boot(vm) => {
             if !sim.is_up(vm) {
@@ -259,6 +267,7 @@
     sim.heal();
     for worker in 0..sim.shape().workers {
         sim.set_behaviour(worker, Behaviour::Normal);
+        sim.resize_worker(worker, 100);
     }
     boot_all(sim);
     sim.advance(14_000);
@@ -280,6 +289,10 @@
 
 fn run_case(shape: Shape, seed: u64, ops: &[Op]) {
     let mut sim = Sim::new(shape, seed);
+    // Every second worker starts whatever it is told to start.
+    for worker in sim.workers.iter_mut().skip(1).step_by(2) {
+        worker.guards_capacity = false;
+    }
     for op in ops {
         apply(&mut sim, op);
     }
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -54,6 +54,13 @@
         self.publish_worker(worker);
     }
 
+    /// Changes the capacity of a running worker, which the registry shows.
+    pub fn resize_worker(&mut self, worker: usize, percent: u64) {
+        let cpu_milli = WORKER_CPU_MILLI * percent / 100;
+        self.workers[worker].resize(self.now, cpu_milli);
+        self.publish_worker(worker);
+    }
+
     /// Marks a worker as draining in the registry.
     pub fn drain_worker(&mut self, worker: usize) {
         self.workers[worker].draining_since = Some(self.now);
@@ -245,6 +252,7 @@
                     && !before.contains(&start.run.task);
                 if is_new_run {
                     self.check_draining(worker, answered);
+                    self.check_capacity(worker, answered);
                     let in_touch = self.is_in_touch(vm);
                     self.history
                         .record_start(self.now, worker, start.run.task, in_touch);
@@ -296,6 +304,16 @@
         );
     }
 
+    /// Checks that a start did not bring a worker over its capacity. Requests whose reply was lost or
+    /// that were delayed don't count.
+    fn check_capacity(&self, worker: usize, answered: bool) {
+        let is_overloaded = self.workers[worker].is_overloaded(self.now);
+        assert!(
+            !(is_overloaded && answered),
+            "run started on worker {worker} beyond its capacity"
+        );
+    }
+
     pub(super) fn poll(&mut self, worker: usize, vm: usize, boot: u32, poll: Poll, answered: bool) {
         let row = &mut self.workers[worker];
         let status = row.poll(self.now, poll.token, poll.lease_end_ms, poll.last_seen);
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -48,8 +48,16 @@
     max_closed_run: BTreeMap<TaskId, u64>,
     pub rejected_for_capacity: u64,
     pub started: u64,
+    /// Whether it rejects runs for which it has no room.
+    pub guards_capacity: bool,
+    /// Capacity before it last shrank, and the time until which that still counts.
+    former_capacity: Option<(Resources, u64)>,
 }
 
+/// Time for which a larger capacity of before still counts for starts, in microseconds: the time
+/// within which VMs must know of a change, and a heartbeat of the worker.
+const FORMER_CAPACITY_TIME: u64 = 4_500_000;
+
 /// Time from a stop request to the end of the run, in microseconds.
 const STOP_GRACE: u64 = 50_000;
 
@@ -70,6 +78,8 @@
             max_closed_run: BTreeMap::new(),
             rejected_for_capacity: 0,
             started: 0,
+            guards_capacity: true,
+            former_capacity: None,
         }
     }
 
@@ -77,9 +87,11 @@
     pub fn reboot(&mut self, now: u64) {
         let started = self.started;
         let behaviour = self.behaviour;
+        let guards_capacity = self.guards_capacity;
         *self = Self {
             behaviour,
             started,
+            guards_capacity,
             ..Self::new(now, self.capacity, self.clock_rate)
         };
     }
@@ -217,7 +229,8 @@
         if closed.is_some_and(|&closed| run.number <= closed) {
             return StartReply::OldRun;
         }
-        if !self.capacity.without(&self.used()).can_fit(&need) {
+        let has_room = self.capacity.without(&self.used()).can_fit(&need);
+        if !has_room && self.guards_capacity {
             self.rejected_for_capacity += 1;
             return StartReply::NoRoom;
         }
@@ -241,6 +254,25 @@
         StartReply::Started { clock_ms }
     }
 
+    /// Changes the capacity of the running worker.
+    pub fn resize(&mut self, now: u64, cpu_milli: u64) {
+        let counting = self.former_capacity.filter(|(_, until)| now < *until);
+        let largest = counting.map_or(self.capacity, |(former, _)| former);
+        self.capacity.cpu_milli = cpu_milli;
+        if largest.cpu_milli > cpu_milli {
+            self.former_capacity = Some((largest, now + FORMER_CAPACITY_TIME));
+        }
+    }
+
+    /// Returns whether the runs, with those that are being stopped, exceed the capacity, also that of
+    /// before it shrank if this still counts.
+    pub fn is_overloaded(&self, now: u64) -> bool {
+        let former = self.former_capacity.filter(|(_, until)| now < *until);
+        let former = former.map_or(self.capacity, |(former, _)| former);
+        let used = self.used();
+        !self.capacity.can_fit(&used) && !former.can_fit(&used)
+    }
+
     fn used(&self) -> Resources {
         let mut used = Resources::default();
         for run in self.runs.values() {
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -71,6 +71,12 @@
             counter!("cardamomslip_takeovers_total").absolute(stats.acquisitions);
             counter!("cardamomslip_lapses_total").absolute(stats.expired_leases);
             counter!("cardamomslip_ejections_total").absolute(stats.ejections);
+            counter!("cardamomslip_workers_lost_total").absolute(stats.lost_workers);
+            counter!("cardamomslip_jobs_given_up_total").absolute(stats.given_up);
+            counter!("cardamomslip_jobs_set_aside_total").absolute(stats.set_aside);
+            counter!("cardamomslip_containments_total").absolute(stats.containments);
+            gauge!("cardamomslip_contained_queues").set(stats.contained_queues as f64);
+            gauge!("cardamomslip_suspects").set(stats.suspects as f64);
             gauge!("cardamomslip_linked_peers").set(stats.linked_peers as f64);
             gauge!("cardamomslip_relays").set(stats.relays as f64);
             gauge!("cardamomslip_held_cells").set(stats.held_cells as f64);
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -3,9 +3,10 @@
 use cardamomslip::peers::PeerMessage;
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
-use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, UpstreamId, WorkerId};
+use cardamomslip_core::guarded::model::crash::Evidence;
+use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, TaskId, UpstreamId, WorkerId};
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
-use cardamomslip_core::guarded::model::message::{Heartbeat, Message, RemoteHolder};
+use cardamomslip_core::guarded::model::message::{Heartbeat, Message, RemoteHolder, SuspectReport};
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
@@ -107,6 +108,32 @@
     Message::Queues(Arc::new(QueueTable::new(17, vec![queue], 4)))
 }
 
+fn suspects() -> Message {
+    let task = TaskId {
+        job: ClientJobId(7),
+        repetition: 1,
+        step: 2,
+        index: 3,
+    };
+    let worker = WorkerId(9);
+    let crashed = |evidence, boot| SuspectReport::Crashed {
+        task,
+        worker,
+        boot,
+        evidence,
+    };
+    Message::Suspects(vec![
+        crashed(Evidence::Decisive, Some(u64::MAX)),
+        crashed(Evidence::Likely, None),
+        crashed(Evidence::Unclear, None),
+        crashed(Evidence::Unconfirmed, Some(0)),
+        crashed(Evidence::Trial, Some(1)),
+        SuspectReport::Withdrawn { task, worker },
+        SuspectReport::Cleared { task },
+        SuspectReport::GivenUp { task },
+    ])
+}
+
 #[rstest]
 #[case::heartbeat(heartbeat(4, 3))]
 #[case::place(place(vec![0]))]
@@ -120,6 +147,12 @@
 #[case::withdraw(Message::Withdraw { job: ClientJobId(8) })]
 #[case::request_queues(Message::RequestQueues { version: 16 })]
 #[case::queues(queues())]
+#[case::suspects(suspects())]
+#[case::contained(finished(Answer::Refused {
+    cause: RefusalCause::Contained,
+    retry_after: Duration::from_secs(3),
+}))]
+#[case::suspected(finished(Answer::Lost(LossCause::Suspected)))]
 fn messages_survive_a_round_trip(#[case] message: Message) {
     let frame = message.encode();
     assert_eq!(Message::decode(&frame).expect("a message"), message);
