Crashes: exchange of reports in a module of its own; no walk over all workers or jobs without open suspects

Read as a newcomer: crashes.rs held two jobs; tuples became LostRun and ContainedLoad. A tick now walks the open suspects instead of all due tasks while any job of the last 30 s is given up, and reservations only while there are some. A new boot of a worker may be tried by a suspect of the former one, since it is another executor.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -115,7 +115,7 @@
         systems::crashes::run(world, cx);
         systems::containment::run(world, cx);
         systems::dispatch::run(world, cx);
-        systems::crashes::send_reports(world, cx);
+        systems::suspect_reports::send(world, cx);
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
@@ -167,7 +167,7 @@
             oldest_remote_load: remote_ages.min().map_or(Duration::ZERO, |known_at| {
                 world.last_active_at.unwrap_or_default().since(known_at)
             }),
-            suspects: world.suspects.len() as u64,
+            suspects: world.suspects.open_count() as u64,
             contained_queues: world
                 .bulkheads
                 .values()
@@ -259,7 +259,7 @@
             systems::configuration::handle_request(world, cx, from, version);
         }
         Message::Queues(table) => systems::configuration::adopt(world, cx, table),
-        Message::Suspects(reports) => systems::crashes::handle_reports(world, cx, &reports),
+        Message::Suspects(reports) => systems::suspect_reports::handle(world, cx, &reports),
     }
 }
 
--- a/crates/core/src/guarded/systems/crashes.rs
+++ b/crates/core/src/guarded/systems/crashes.rs
@@ -7,16 +7,13 @@
 
 use super::run_list::RunList;
 use super::{containment, runner};
-use crate::guarded::action::Action;
 use crate::guarded::model::answer::Answer;
 use crate::guarded::model::crash::{Crash, Evidence};
 use crate::guarded::model::ids::{QueueId, TaskId, WorkerId};
-use crate::guarded::model::job::Job;
-use crate::guarded::model::message::{Message, SuspectReport};
+use crate::guarded::model::message::SuspectReport;
 use crate::guarded::tables::suspects::Suspect;
-use crate::guarded::tables::worker::{Hold, Loss, Run, WorkerEnd};
+use crate::guarded::tables::worker::{Loss, Run, WorkerEnd};
 use crate::guarded::world::{Cx, World};
-use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use std::time::Duration;
 
@@ -26,11 +23,6 @@
 const COMMON_CAUSE_EVENTS: usize = 3;
 /// Number of crashes that no task explains up to which a worker does not count as their cause.
 const MAX_UNEXPLAINED_CRASHES: u32 = 2;
-/// Time after which the end of a trial at a lost VM is not waited for any more. Longer than a worker
-/// takes to restart.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum number of suspects that a new peer is told of.
-const MAX_REPORTED: usize = 64;
 
 /// A worker that was lost with its runs, until the loss is judged.
 #[derive(Clone, Debug)]
@@ -44,6 +36,14 @@
     is_judged: bool,
 }
 
+/// A run that was lost with its worker.
+#[derive(Clone, Copy, Debug)]
+struct LostRun {
+    task: TaskId,
+    queue: Option<QueueId>,
+    evidence: Evidence,
+}
+
 impl WorkerLoss {
     fn shares_task(&self, other: &Self) -> bool {
         self.tasks.iter().any(|task| other.tasks.contains(task))
@@ -86,69 +86,54 @@
         return;
     }
     let boot = row.boot;
+    let may_blame_task = end != WorkerEnd::Silent && unexplained <= MAX_UNEXPLAINED_CRASHES;
     let lost = row.runs.values().filter(|run| !is_alive(run));
     let lost: Vec<&Run> = lost.collect();
     let last_start = lost.iter().map(|run| run.requested_at).max();
-    let is_clear = end != WorkerEnd::Silent && unexplained <= MAX_UNEXPLAINED_CRASHES;
-    let evidence = |run: &Run| {
-        let is_last = Some(run.requested_at) == last_start;
-        match (run.is_confirmed, is_clear, lost.len()) {
-            (false, ..) => Evidence::Unconfirmed,
-            (true, true, 1) => Evidence::Decisive,
-            (true, true, _) if is_last => Evidence::Likely,
+    let runs = lost.iter().map(|run| LostRun {
+        task: run.id.task,
+        queue: run.queue,
+        evidence: match lost.len() {
+            _ if !run.is_confirmed => Evidence::Unconfirmed,
+            _ if !may_blame_task => Evidence::Unclear,
+            1 => Evidence::Decisive,
+            _ if Some(run.requested_at) == last_start => Evidence::Likely,
             _ => Evidence::Unclear,
-        }
-    };
-    let runs = lost.iter();
-    let runs: Vec<_> = runs
-        .map(|run| (run.id.task, run.queue, evidence(run)))
-        .collect();
-    for &(task, queue, evidence) in &runs {
-        let crash = Crash {
-            worker: id,
-            boot,
-            evidence,
-            at: cx.now,
-        };
-        world.suspects.record(task, queue, crash);
-        world.suspects.hold(task);
-        let report = SuspectReport::crashed(task, &crash);
-        world.suspect_reports.push(report);
+        },
+    });
+    let runs: Vec<LostRun> = runs.collect();
+    for run in &runs {
+        suspect(world, cx.now, id, boot, run);
     }
     world.losses.push(WorkerLoss {
         worker: id,
         at: cx.now,
-        tasks: runs.iter().map(|&(task, _, _)| task).collect(),
+        tasks: runs.iter().map(|run| run.task).collect(),
         queue: likely_queue(&runs),
         is_judged: false,
     });
 }
 
-/// Tells the other holders what this VM learned of suspects.
-pub fn send_reports(world: &mut World, cx: &mut Cx<'_>) {
-    if world.suspect_reports.is_empty() {
-        return;
-    }
-    let reports = std::mem::take(&mut world.suspect_reports);
-    let holders = world.peers.iter().filter(|(peer, row)| {
-        let follows = world.topology.followers.contains(&peer.vm);
-        row.linked && (follows || row.is_relay())
-    });
-    let holders: Vec<Incarnation> = holders.map(|(&peer, _)| peer).collect();
-    for to in holders {
-        cx.emit(Action::Send {
-            to,
-            message: Message::Suspects(reports.clone()),
-        });
-    }
+/// Makes the task of a lost run a suspect.
+fn suspect(world: &mut World, now: Time, worker: WorkerId, boot: Option<u64>, run: &LostRun) {
+    let crash = Crash {
+        worker,
+        boot,
+        evidence: run.evidence,
+        at: now,
+    };
+    world.suspects.record(run.task, run.queue, crash);
+    world.suspects.hold(run.task);
+    let report = SuspectReport::crashed(run.task, &crash);
+    world.suspect_reports.push(report);
 }
 
 /// Returns the queue of the tasks that a loss points to, if they have the same one.
-fn likely_queue(runs: &[(TaskId, Option<QueueId>, Evidence)]) -> Option<QueueId> {
+fn likely_queue(runs: &[LostRun]) -> Option<QueueId> {
     let likely = runs
         .iter()
-        .filter(|(_, _, evidence)| matches!(evidence, Evidence::Decisive | Evidence::Likely));
-    let mut queues = likely.map(|&(_, queue, _)| queue);
+        .filter(|run| matches!(run.evidence, Evidence::Decisive | Evidence::Likely));
+    let mut queues = likely.map(|run| run.queue);
     let first = queues.next()?;
     queues.all(|queue| queue == first).then_some(first)?
 }
@@ -281,106 +266,3 @@
         Ok(())
     }
 }
-
-/// Tells the other holders that a suspect starts alone on a worker, in case this VM is lost before it
-/// learns how the run ends.
-pub fn report_trial(world: &mut World, now: Time, task: TaskId, worker: WorkerId) {
-    let boot = world.workers.get(&worker).and_then(|row| row.boot);
-    let crash = Crash {
-        worker,
-        boot,
-        evidence: Evidence::Trial,
-        at: now,
-    };
-    let report = SuspectReport::crashed(task, &crash);
-    world.suspect_reports.push(report);
-}
-
-/// Clears a task whose run ended by itself.
-pub fn clear(world: &mut World, task: TaskId) {
-    if world.suspects.get(task).is_some() {
-        world.suspects.clear(task);
-        world.suspect_reports.push(SuspectReport::Cleared { task });
-    }
-}
-
-/// Closes the trials of a job's tasks that a lost VM left open, once the worker answers or has had
-/// time to restart. What became of the task there can't be known then.
-pub fn close_trials(world: &mut World, cx: &Cx<'_>, job: &Job) {
-    if world.suspects.is_empty() {
-        return;
-    }
-    for task in job.task_ids() {
-        let Some(row) = world.suspects.get(task) else {
-            continue;
-        };
-        let trials = row.crashes.iter();
-        let trials = trials.filter(|crash| crash.evidence == Evidence::Trial);
-        let closed = trials.filter(|trial| is_closed(world, cx.now, trial));
-        let closed: Vec<WorkerId> = closed.map(|trial| trial.worker).collect();
-        for worker in closed {
-            world.suspects.withdraw(task, worker);
-        }
-    }
-}
-
-fn is_closed(world: &World, now: Time, trial: &Crash) -> bool {
-    let row = world.workers.get(&trial.worker);
-    let is_alive = row.is_some_and(|row| row.hold == Hold::Held && row.boot == trial.boot);
-    is_alive || now.since(trial.at) > TRIAL_TIMEOUT
-}
-
-/// Records what another VM learned of suspects.
-pub fn handle_reports(world: &mut World, cx: &mut Cx<'_>, reports: &[SuspectReport]) {
-    for &report in reports {
-        match report {
-            SuspectReport::Crashed {
-                task,
-                worker,
-                boot,
-                evidence,
-            } => {
-                let crash = Crash {
-                    worker,
-                    boot,
-                    evidence,
-                    at: cx.now,
-                };
-                world.suspects.record(task, None, crash);
-            }
-            SuspectReport::Withdrawn { task, worker } => world.suspects.withdraw(task, worker),
-            SuspectReport::Cleared { task } => world.suspects.clear(task),
-            SuspectReport::GivenUp { task } => {
-                world.suspects.give_up(cx.now, task);
-                runner::end_job(world, cx, task.job, Answer::Failed);
-            }
-        }
-    }
-}
-
-/// Withdraws the crash of a worker that was only silent: the same boot answers again.
-pub fn withdraw_silence(world: &mut World, worker: WorkerId) {
-    for task in world.suspects.crashed_on(worker) {
-        world.suspects.withdraw(task, worker);
-        let report = SuspectReport::Withdrawn { task, worker };
-        world.suspect_reports.push(report);
-    }
-}
-
-/// Tells a peer that has just connected of the newest suspects.
-pub fn report_to(world: &World, cx: &mut Cx<'_>, to: Incarnation) {
-    let mut reports = Vec::new();
-    for (task, row) in world.suspects.newest().take(MAX_REPORTED) {
-        let crashes = row.crashes.iter();
-        reports.extend(crashes.map(|crash| SuspectReport::crashed(task, crash)));
-        if row.is_given_up {
-            reports.push(SuspectReport::GivenUp { task });
-        }
-    }
-    if !reports.is_empty() {
-        cx.emit(Action::Send {
-            to,
-            message: Message::Suspects(reports),
-        });
-    }
-}
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -1,6 +1,6 @@
 //! Scheduling: chooses the next task to start and the worker to start it on.
 
-use super::{containment, crashes, quarantine};
+use super::{containment, quarantine, suspect_reports};
 use crate::guarded::action::{Action, Start};
 use crate::guarded::model::ids::{ClientJobId, RunId, TaskId, WorkerId};
 use crate::guarded::model::job::Step;
@@ -295,7 +295,8 @@
         && row.runs.is_empty()
     {
         row.reserved_for = Some(task);
-        crashes::report_trial(world, cx.now, task, worker);
+        world.has_reservations = true;
+        suspect_reports::report_trial(world, cx.now, task, worker);
     }
     world.add_run(
         worker,
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -22,5 +22,6 @@
 pub mod runner;
 pub mod starts;
 pub mod stops;
+pub mod suspect_reports;
 pub mod sweep;
 pub mod topology;
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -1,7 +1,6 @@
 //! Polls of workers, which renew leases and report ended and current runs.
 
-use super::crashes;
-use super::holds;
+use super::{crashes, holds, suspect_reports};
 use crate::guarded::action::{Action, Poll};
 use crate::guarded::model::ids::{FencingToken, RunId, TaskId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
@@ -290,7 +289,7 @@
     let was_silent = row.loss.is_some_and(|loss| loss.end == WorkerEnd::Silent);
     if was_silent && row.boot.is_some() {
         row.loss = None;
-        crashes::withdraw_silence(world, id);
+        suspect_reports::withdraw_silence(world, id);
     }
     let Some(row) = world.workers.get_mut(&id) else {
         return;
--- a/crates/core/src/guarded/systems/progress.rs
+++ b/crates/core/src/guarded/systems/progress.rs
@@ -1,6 +1,6 @@
 //! Applies ended runs to their jobs and to the statistics of their workers.
 
-use super::{containment, crashes, runner};
+use super::{containment, runner, suspect_reports};
 use crate::guarded::model::answer::Answer;
 use crate::guarded::model::reply::RunEnd;
 use crate::guarded::tables::runner_job::TaskState;
@@ -55,7 +55,7 @@
 fn apply_end(world: &mut World, cx: &mut Cx<'_>, finished: &FinishedRun) {
     let id = finished.run.id.task;
     if matches!(finished.end, Some(RunEnd::Done | RunEnd::Failed)) {
-        crashes::clear(world, id);
+        suspect_reports::clear(world, id);
     }
     let Some(job) = world.jobs.get_mut(&id.job) else {
         return;
--- a/crates/core/src/guarded/systems/quarantine.rs
+++ b/crates/core/src/guarded/systems/quarantine.rs
@@ -4,7 +4,7 @@
 use super::{containment, runner};
 use crate::guarded::model::answer::{Answer, LossCause};
 use crate::guarded::model::ids::{TaskId, WorkerId};
-use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
+use crate::guarded::tables::runner_job::RunnerJob;
 use crate::guarded::tables::suspects::Suspect;
 use crate::guarded::tables::worker::{Run, RunState, Worker};
 use crate::guarded::world::{Cx, World};
@@ -22,7 +22,7 @@
 const RESERVED_PART: usize = 4;
 
 /// Returns whether a task may start on a worker beside the runs there. A suspect runs alone, and not
-/// on a worker that crashed under it while there is another.
+/// on the boot of a worker that crashed under it.
 pub fn admits(world: &World, now: Time, row: &Worker, task: TaskId) -> bool {
     let is_reserved = row.reserved_for.is_some_and(|other| other != task);
     let Some(suspect) = world.suspects.get(task) else {
@@ -31,7 +31,7 @@
     let may_start = !suspect.is_pending
         && !suspect.is_given_up
         && (!suspect.is_likely() || may_try(world, now));
-    let is_fresh = !suspect.crashed(row.entry.id) || world.workers.len() == 1;
+    let is_fresh = !suspect.crashed_boot(row.entry.id, row.boot);
     let may_share = row.exclusive_to.is_some() && suspect.crashes.len() == 1;
     may_start && !is_reserved && is_fresh && (row.runs.is_empty() || may_share)
 }
@@ -50,8 +50,10 @@
 /// Ends the jobs of suspects that are not tried again, and reserves workers for those that wait, so
 /// that the runs there end and no others start.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
-    release_unneeded(world);
-    if world.suspects.is_empty() {
+    if world.has_reservations {
+        release_unneeded(world);
+    }
+    if world.suspects.open_count() == 0 {
         return;
     }
     set_likely_aside(world, cx);
@@ -91,6 +93,7 @@
             && let Some(row) = world.workers.get_mut(&worker)
         {
             row.reserved_for = Some(task);
+            world.has_reservations = true;
         }
     }
 }
@@ -111,30 +114,27 @@
             row.reserved_for = None;
         }
     }
+    let mut rows = world.workers.values();
+    world.has_reservations = rows.any(|row| row.reserved_for.is_some());
 }
 
 fn is_waiting(world: &World, task: TaskId) -> bool {
     let job = world.jobs.get(&task.job);
     let mut tasks = job.into_iter().flat_map(RunnerJob::due_tasks);
-    tasks.any(|row| row.id == task && row.state == TaskState::Waiting)
+    tasks.any(|row| row.id == task)
 }
 
 /// Returns the suspects that wait for a worker and have none reserved.
 fn waiting_suspects(world: &World) -> Vec<TaskId> {
-    let due = world
-        .jobs
-        .values()
-        .flat_map(RunnerJob::due_tasks)
-        .map(|task| task.id);
-    let due = due.filter(|&task| {
-        let suspect = world.suspects.get(task);
-        suspect.is_some_and(|row| !row.is_pending && !row.is_given_up)
-    });
+    let open = world.suspects.open();
+    let judged = open.filter(|(_, row)| !row.is_pending);
+    let waiting = judged.map(|(task, _)| task);
+    let waiting = waiting.filter(|&task| is_waiting(world, task));
     let has_none = |task: &TaskId| {
         let mut rows = world.workers.values();
         !rows.any(|row| row.reserved_for == Some(*task))
     };
-    due.filter(has_none).collect()
+    waiting.filter(has_none).collect()
 }
 
 /// Returns the worker that will be idle first of those that the task may run on.
@@ -151,7 +151,7 @@
                 .is_none_or(|queue| queue == job.job.settings.queue)
             && !containment::is_contained(world, job.job.settings.queue)
             && row.entry.capacity.can_fit(&step.need)
-            && !suspect.crashed(row.entry.id)
+            && !suspect.crashed_boot(row.entry.id, row.boot)
             && step
                 .label
                 .as_ref()
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,6 +1,6 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
-use super::{cell_assignment, containment, crashes, quarantine, stops};
+use super::{cell_assignment, containment, quarantine, stops, suspect_reports};
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
@@ -50,7 +50,7 @@
         }
         return;
     }
-    crashes::close_trials(world, cx, &job);
+    suspect_reports::close_trials(world, cx, &job);
     if let Some(answer) = check_suspects(world, cx.now, &job) {
         tracing::info!(job = %id, ?answer, "a task of the job crashed workers before");
         answer_origin(world, cx, origin, id, answer);
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -23,9 +23,13 @@
 /// Time past the client's timeout at which the runner ends a job whose entry did not withdraw it.
 const CLIENT_TIMEOUT_SLACK: Duration = Duration::from_millis(100);
 
-/// Load of the workers of each contained queue, and the CPU of its jobs that go first, in
-/// thousandths of a core.
-type ContainedLoads = FastMap<QueueId, (HolderLoad, u64)>;
+/// Load of the workers of a contained queue, during a check of its jobs.
+#[derive(Clone, Copy, Debug)]
+struct ContainedLoad {
+    load: HolderLoad,
+    /// CPU of its jobs that go first, in thousandths of a core.
+    ahead_milli: u64,
+}
 
 /// Returns the time until the next sweep.
 pub fn interval(world: &World) -> Duration {
@@ -54,7 +58,7 @@
 fn refuse_late_jobs(world: &mut World, cx: &mut Cx<'_>) {
     let load = cell_assignment::own_load(world, cx.now);
     let mut ahead_milli = 0;
-    let mut contained = ContainedLoads::default();
+    let mut contained: FastMap<QueueId, ContainedLoad> = FastMap::default();
     for (_, id) in dispatch::jobs_by_rank(world, cx.now) {
         let Some(job) = world.jobs.get(&id) else {
             continue;
@@ -62,13 +66,15 @@
         let queue = job.job.settings.queue;
         let due_milli = job.due_milli();
         if containment::is_contained(world, queue) {
-            let (load, ahead) = contained
-                .entry(queue)
-                .or_insert_with(|| (containment::load(world, cx.now, queue), 0));
-            let wait = load.wait_behind(*ahead).min(runner::MAX_CONTAINED_WAIT);
+            let row = contained.entry(queue).or_insert_with(|| ContainedLoad {
+                load: containment::load(world, cx.now, queue),
+                ahead_milli: 0,
+            });
+            let wait = row.load.wait_behind(row.ahead_milli);
+            let wait = wait.min(runner::MAX_CONTAINED_WAIT);
             match decide_outcome(world, cx, job, wait) {
                 Some(answer) => runner::end_job(world, cx, id, answer),
-                None => *ahead += due_milli,
+                None => row.ahead_milli += due_milli,
             }
             continue;
         }
--- a/crates/core/src/guarded/tables/suspects.rs
+++ b/crates/core/src/guarded/tables/suspects.rs
@@ -5,7 +5,7 @@
 use crate::guarded::model::ids::{QueueId, TaskId, WorkerId};
 use crate::guarded::model::job::Job;
 use crate::model::time::Time;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Retention time of a suspect. A client whose answer was lost submits its job again within this
@@ -13,6 +13,8 @@
 const RETENTION: Duration = Duration::from_secs(30);
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 20_000;
+/// Maximum number of crashes that are kept of a task.
+const MAX_KEPT_CRASHES: usize = 8;
 /// Number of crashed workers after which a task is given up, if the last crash points to it.
 const MAX_CRASHES: usize = 2;
 /// Number of crashed workers after which a task is given up in any case.
@@ -60,6 +62,15 @@
     pub fn crashed(&self, worker: WorkerId) -> bool {
         self.crashes.iter().any(|crash| crash.worker == worker)
     }
+
+    /// Returns whether this boot of a worker crashed under the task, or may have.
+    #[must_use]
+    pub fn crashed_boot(&self, worker: WorkerId, boot: Option<u64>) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| {
+            crash.worker == worker && (boot.is_none() || crash.boot.is_none() || crash.boot == boot)
+        })
+    }
 }
 
 /// The tasks under which workers have crashed, by their identity, so that a crash counts wherever
@@ -67,6 +78,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     rows: FastMap<TaskId, Suspect>,
+    /// Tasks of the rows whose jobs are not given up.
+    open: BTreeSet<TaskId>,
     insertion_order: VecDeque<(Time, TaskId)>,
 }
 
@@ -83,10 +96,16 @@
         self.rows.is_empty()
     }
 
-    /// Returns the number of suspects.
+    /// Returns the number of suspects whose jobs are not given up.
     #[must_use]
-    pub fn len(&self) -> usize {
-        self.rows.len()
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Iterates over the suspects whose jobs are not given up.
+    pub fn open(&self) -> impl Iterator<Item = (TaskId, &Suspect)> {
+        let tasks = self.open.iter();
+        tasks.filter_map(|&task| Some((task, self.rows.get(&task)?)))
     }
 
     /// Iterates over the suspects that were added last, newest first.
@@ -99,12 +118,11 @@
     pub fn record(&mut self, task: TaskId, queue: Option<QueueId>, crash: Crash) {
         let row = self.row(crash.at, task);
         row.queue = row.queue.or(queue);
-        let mut known = row.crashes.iter_mut();
-        let known = known.find(|known| (known.worker, known.boot) == (crash.worker, crash.boot));
-        match known {
-            Some(known) if known.evidence == Evidence::Trial => *known = crash,
-            Some(_) => {}
-            None => row.crashes.push(crash),
+        let same_boot = |known: &Crash| (known.worker, known.boot) == (crash.worker, crash.boot);
+        match row.crashes.iter().position(same_boot) {
+            Some(i) if row.crashes[i].evidence == Evidence::Trial => row.crashes[i] = crash,
+            None if row.crashes.len() < MAX_KEPT_CRASHES => row.crashes.push(crash),
+            _ => {}
         }
     }
 
@@ -129,6 +147,7 @@
             row.is_pending = false;
             if row.crashes.is_empty() && !row.is_given_up {
                 self.rows.remove(&task);
+                self.open.remove(&task);
             }
         }
     }
@@ -140,18 +159,24 @@
         };
         row.is_pending = false;
         row.is_given_up |= row.is_guilty();
-        row.is_given_up
+        let is_given_up = row.is_given_up;
+        if is_given_up {
+            self.open.remove(&task);
+        }
+        is_given_up
     }
 
     /// Records that another VM has given up the job of a task.
     pub fn give_up(&mut self, now: Time, task: TaskId) {
         self.row(now, task).is_given_up = true;
+        self.open.remove(&task);
     }
 
     /// Removes a task that has ended by itself, unless its job is given up.
     pub fn clear(&mut self, task: TaskId) {
         if self.rows.get(&task).is_some_and(|row| !row.is_given_up) {
             self.rows.remove(&task);
+            self.open.remove(&task);
         }
     }
 
@@ -169,6 +194,7 @@
         self.evict(now);
         self.rows.entry(task).or_insert_with(|| {
             self.insertion_order.push_back((now, task));
+            self.open.insert(task);
             Suspect::default()
         })
     }
@@ -180,6 +206,7 @@
             }
             self.insertion_order.pop_front();
             self.rows.remove(&oldest);
+            self.open.remove(&oldest);
         }
     }
 }
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -121,6 +121,8 @@
     pub recent: RecentOutcomes,
     /// Tasks under which workers crashed, here or elsewhere.
     pub suspects: Suspects,
+    /// Whether a worker may be reserved for a suspect.
+    pub has_reservations: bool,
     /// Queues whose tasks crashed workers held here.
     pub bulkheads: FastMap<QueueId, Bulkhead>,
     /// What `systems::crashes` tells the other holders.
@@ -185,6 +187,7 @@
             present_runs: FastMap::default(),
             recent: RecentOutcomes::default(),
             suspects: Suspects::default(),
+            has_reservations: false,
             bulkheads: FastMap::default(),
             suspect_reports: Vec::new(),
             losses: Vec::new(),
