--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -96,6 +96,9 @@
     /// The process of the VM that ran the job stalled.
     runner_lost("runner-lost.log", "a9bf5cac2b36259a")
         => Cause::RunnerLost, "lost connections between its VMs and their peers";
+    /// A task of the job crashed two workers, so the job was given up.
+    task_crashed_workers("deadly-task.log", "bc016e4db4686204")
+        => Cause::TaskFailed, "it was given up, because workers crashed under a task of it";
 }
 
 #[test]
