Forget suspects in time, also without a further crash

Found in reading: suspects of jobs that had ended otherwise were removed only when another was added, so each tick went on visiting them. suspects_are_forgotten_in_time failed before (6 left after 40 s) and passes.

--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -46,6 +46,7 @@
 
 /// Runs all checks.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    world.suspects.evict(cx.now);
     refuse_late_jobs(world, cx);
     stop_hanging_runs(world, cx);
     remove_missing_workers(world, cx);
--- a/crates/core/src/guarded/tables/suspects.rs
+++ b/crates/core/src/guarded/tables/suspects.rs
@@ -199,7 +199,9 @@
         })
     }
 
-    fn evict(&mut self, now: Time) {
+    /// Removes the suspects that are older than their retention time, and the oldest beyond the maximum
+    /// number.
+    pub fn evict(&mut self, now: Time) {
         while let Some(&(at, oldest)) = self.insertion_order.front() {
             if now.since(at) < RETENTION && self.insertion_order.len() <= MAX_SUSPECTS {
                 break;
--- a/crates/core/tests/guarded/crashes.rs
+++ b/crates/core/tests/guarded/crashes.rs
@@ -276,3 +276,20 @@
         assert_eq!(completed(sim, &ids), 6);
     };
 }
+
+simulation_tests! {
+    /// Guards against suspects that are kept, and visited at each tick, long after their job has ended:
+    /// only a further crash removed old ones.
+    suspects_are_forgotten_in_time(TWELVE_WORKERS) => |sim| {
+        let id = sim.submit_shape(0, DEADLY);
+        while crashes(sim, id) == 0 {
+            sim.advance(1);
+        }
+        sim.advance(2);
+        sim.abandon(id);
+        let suspects = |sim: &Sim| -> u64 { (0..3).map(|vm| sim.stats_of(vm).suspects).sum() };
+        assert!(suspects(sim) > 0);
+        sim.advance(40_000);
+        assert_eq!(suspects(sim), 0);
+    };
+}
