--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -88,10 +88,12 @@
         let started = self.started;
         let behaviour = self.behaviour;
         let guards_capacity = self.guards_capacity;
+        let former_capacity = self.former_capacity;
         *self = Self {
             behaviour,
             started,
             guards_capacity,
+            former_capacity,
             ..Self::new(now, self.capacity, self.clock_rate)
         };
     }
