--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -26,6 +26,9 @@
 CONTACT_MS, CONFIG_APPLY_MS, CANCEL_MS, RESEND_MS, HEARTBEAT_MS = 3000, 2000, 3000, 1300, 1500
 
 
+CLOSE = object()  # Instead of an answer: the channel is closed.
+
+
 class Record:
     """Writes what was sent, answered and run, with the time since the start in seconds."""
 
@@ -141,6 +144,9 @@
             time.sleep(30)
             self.close_connection = True
             return
+        if answer is CLOSE:
+            self.close_connection = True
+            return
         status, value = answer
         data = json.dumps(value).encode()
         self.send_response(status)
@@ -302,13 +308,14 @@
             self.token, self.lease_end, self.seq, self.end_number = 0, 0.0, 0, 0
             self.runs, self.closed, self.finished = {}, {}, []
             self.state = "ready"
+            self.life = life = object()
         self.record(self.name, "boots", labels=",".join(self.labels), born=self.born)
         self.register()
-        self.server = Server((self.ip, self.port), self.respond)
+        self.server = Server((self.ip, self.port), lambda *call: self.respond(life, *call))
 
     def crash(self):
-        server, self.server = self.server, None
         with self.cond:
+            server, self.server, self.life = self.server, None, None
             now = time.monotonic()
             for run in list(self.runs.values()):
                 self.close_run(run, now, "crashed")
@@ -381,7 +388,8 @@
             self.lease_end = max(self.lease_end, end)
 
     # Its calls.
-    def respond(self, method, path, query, body, headers):
+    def respond(self, life, method, path, query, body, headers):
+        """Answers a call, if the life that it came to hasn't ended."""
         if path == "/healthz":
             return 200, {}
         expected = headers.get("X-Expected-Instance")
@@ -394,6 +402,8 @@
                             answer=answer[0])
                 return answer
         with self.cond:
+            if life is not self.life:
+                return CLOSE
             self.advance()
             token = body.get("FencingToken", 0)
             if token < self.token:
@@ -411,7 +421,8 @@
                             answer=answer[0])
                 return answer
             if path == "/hold":
-                return self.hold(body)
+                answer = self.hold(body)
+                return answer if life is self.life else CLOSE
         return 404, {}
 
     def refuse(self, reason):
@@ -451,7 +462,8 @@
         seen = body.get("LastSeen", 0)
         self.finished = [row for row in self.finished if row[0] > seen]
         until = time.monotonic() + body.get("WaitMs", 0) / 1e3
-        while not self.finished and self.server is not None:
+        life = self.life
+        while not self.finished and self.life is life:
             left = until - time.monotonic()
             if left <= 0:
                 break
