--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -291,6 +291,7 @@
         self.zone, self.labels, self.work_s, self.capacity = zone, list(labels), work_s, capacity
         self.state = "ready"
         self.lives = []  # every run: [task, number, began, ended, how, labels, spec]
+        self.unanswered = None  # a function (worker, path, body) -> whether the order gets no answer
         self.order_filter = None  # a function (path, task, run) -> None or an answer
         self.ip = loopback_ip()
         self.port = free_ports(self.ip, 1)[0]
@@ -401,6 +402,8 @@
                 self.record(self.name, path[1:], task=body.get("Task"), run=body.get("Run"),
                             answer=answer[0])
                 return answer
+        if self.unanswered and self.unanswered(self, path, body):
+            return None
         with self.cond:
             if life is not self.life:
                 return CLOSE
@@ -425,6 +428,10 @@
                 return answer if life is self.life else CLOSE
         return 404, {}
 
+    def carry_out(self, path, body):
+        """Carries out an order that was left unanswered."""
+        return self.respond(self.life, "POST", path, {}, body, {"X-Expected-Instance": self.name})
+
     def refuse(self, reason):
         return 409, {"ClockMs": self.clock_ms(), "Reason": reason}
 
