--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -587,9 +587,19 @@
     """Runs `case(record, folder)`, which returns whether the rule held. Exits with 1 if the rule
     was broken, 0 if it held, 2 if the case couldn't run."""
     record = Record(os.path.join(folder, "record.txt"))
-    threading.Timer(limit_s, lambda: os._exit(2)).start()
     code = 2
     nodes = []
+
+    def give_up(*_):
+        for node in nodes:
+            node.end()
+        os._exit(2)
+
+    limit = threading.Timer(limit_s, give_up)
+    limit.daemon = True
+    limit.start()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, give_up)
     with tempfile.TemporaryDirectory() as temporary:
         try:
             code = 0 if case(record, temporary, nodes) else 1
