--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# The stand-ins of the cases are Python (standard library only), so there is nothing to compile:
+# The stand-ins are Python (3.8 or later, standard library only), so there is nothing to compile:
 # this checks that they can run.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -B - standins/standins.py */case.py <<'P'
+python3 -B - standins/*.py */case.py <<'P'
 import ast, sys
 assert sys.version_info >= (3, 8), "Python 3.8 or later is needed"
 for path in sys.argv[1:]:
