--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -60,22 +60,42 @@
             f"Content-Length: {len(body)}\r\n{extra}\r\n").encode() + body
 
 
-async def serve(port, handler):
-    """Starts a server. `handler(method, path, query, headers, body)` returns status and object."""
+class Channel:
+    """A channel to a server of this case."""
+
+    def __init__(self):
+        self.is_busy = False  # a request is in progress
+        self.is_silent = False  # what arrives from now on is lost, without a reset
+
+
+async def serve(port, handler, channels=None):
+    """Starts a server. `handler(method, path, query, headers, body)` returns status and object.
+    Its open channels stand in `channels`."""
     async def connection(reader, writer):
+        channel = Channel()
+        if channels is not None:
+            channels.add(channel)
         try:
             while True:
                 line, headers, body = await read_message(reader)
+                if channel.is_silent:
+                    continue
+                channel.is_busy = True
                 method, target, _ = line.split(" ", 2)
                 path, _, query = target.partition("?")
                 pairs = dict(p.split("=", 1) for p in query.split("&") if "=" in p)
                 data = json.loads(body) if body else {}
                 status, reply = await handler(method, path, pairs, headers, data)
+                if channel.is_silent:  # since the request arrived
+                    continue
                 writer.write(encode(f"HTTP/1.1 {status} X", json.dumps(reply).encode()))
                 await writer.drain()
+                channel.is_busy = False
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            if channels is not None:
+                channels.discard(channel)
             writer.close()
     return await asyncio.start_server(connection, HOST, port, backlog=512)
 
@@ -118,11 +138,18 @@
         self.leases = {}  # number -> (ttl_s, end)
         self.next_lease = 7000
         self.changed = asyncio.Condition()
+        self.channels = set()
 
     async def start(self):
-        self.server = await serve(self.port, self.handle)
+        self.server = await serve(self.port, self.handle, self.channels)
         self.expiry = asyncio.create_task(self.expire())
 
+    def silence_channels(self):
+        """All open channels go silent for good; new ones work."""
+        for channel in self.channels:
+            channel.is_silent = True
+        return len(self.channels)
+
     def item(self, key):
         value, revision, created, lease = self.items[key]
         return {"Key": key, "Value": value, "Revision": revision, "Created": created,
@@ -246,6 +273,14 @@
         self.ended = []  # [N, task, run, how, saved]
         self.last_end = 0
         self.changed = asyncio.Event()
+        self.channels = set()
+        self.state = "ready"
+        self.is_drained = False
+        self.beat_now = asyncio.Event()
+
+    def drain(self):
+        self.state = "draining"
+        self.beat_now.set()
 
     def log(self, what, **fields):
         print(json.dumps({"t": time.time(), "id": self.cfg["id"], "born": self.born, "what": what,
@@ -262,8 +297,18 @@
         self.log("end", task=task, run=row["run"], how=how)
         self.changed.set()
 
+    def silence_idle_channels(self):
+        """Open channels without a request in progress go silent for good; new ones work."""
+        idle = [c for c in self.channels if not c.is_busy]
+        for channel in idle:
+            channel.is_silent = True
+        self.log("silence", idle_channels=len(idle), busy=len(self.channels) - len(idle))
+
     async def run(self):
-        await serve(self.cfg["port"], self.handle)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, self.silence_idle_channels)
+        loop.add_signal_handler(signal.SIGUSR2, self.drain)
+        await serve(self.cfg["port"], self.handle, self.channels)
         self.log("up", labels=self.cfg["labels"], capacity=self.cfg["capacity"])
         beat = asyncio.create_task(self.beat())
         while True:
@@ -283,7 +328,7 @@
         while True:
             seq += 1
             entry = {"Service": self.cfg["service"], "Addr": f"{HOST}:{self.cfg['port']}",
-                     "Zone": self.cfg["zone"], "Version": "v1", "Slots": 8, "State": "ready",
+                     "Zone": self.cfg["zone"], "Version": "v1", "Slots": 8, "State": self.state,
                      "ColdLeftMs": 0, "Capacity": self.cfg["capacity"],
                      "Labels": self.cfg["labels"], "ClockMs": int(self.clock()), "Seq": seq,
                      "born": self.born}
@@ -291,7 +336,14 @@
                 self.log("registers", labels=self.cfg["labels"])
             await call(self.cfg["store"], "POST", "/beat",
                        {"Key": f"servers/{self.cfg['id']}", "Value": entry}, timeout=1)
-            await asyncio.sleep(BEAT_S)
+            if entry["State"] == "draining" and seq > 0 and not self.is_drained:
+                self.is_drained = True
+                self.log("the store has accepted that it is draining")
+            try:
+                await asyncio.wait_for(self.beat_now.wait(), BEAT_S)
+            except asyncio.TimeoutError:
+                pass
+            self.beat_now.clear()
 
     def extend(self, deadline):
         if deadline:
