--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # this checks that they can run.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -B - standins/*.py */case.py <<'P'
+python3 -B - standins/*.py */case.py known/*/case.py <<'P'
 import ast, sys
 assert sys.version_info >= (3, 8), "Python 3.8 or later is needed"
 for path in sys.argv[1:]:
--- a/review/4/case.py
+++ b/review/known/drain/case.py
@@ -4,7 +4,7 @@
 import signal
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins"))
 sys.dont_write_bytecode = True
 import lab
 
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -274,6 +274,8 @@
         self.last_end = 0
         self.changed = asyncio.Event()
         self.channels = set()
+        self.refuses_until = 0
+        self.left_unanswered = set()
         self.state = "ready"
         self.is_drained = False
         self.beat_now = asyncio.Event()
@@ -297,6 +299,11 @@
         self.log("end", task=task, run=row["run"], how=how)
         self.changed.set()
 
+    def refuse_orders(self):
+        """Orders are refused with 503 for a while, and nothing is done."""
+        self.refuses_until = time.monotonic() + self.cfg["refuse_s"]
+        self.log(f"refuses orders for {self.cfg['refuse_s']} s")
+
     def silence_idle_channels(self):
         """Open channels without a request in progress go silent for good; new ones work."""
         idle = [c for c in self.channels if not c.is_busy]
@@ -308,6 +315,7 @@
         loop, parent = asyncio.get_running_loop(), os.getppid()
         loop.add_signal_handler(signal.SIGUSR1, self.silence_idle_channels)
         loop.add_signal_handler(signal.SIGUSR2, self.drain)
+        loop.add_signal_handler(signal.SIGHUP, self.refuse_orders)
         await serve(self.cfg["port"], self.handle, self.channels)
         self.log("up", labels=self.cfg["labels"], capacity=self.cfg["capacity"])
         beat = asyncio.create_task(self.beat())
@@ -358,6 +366,16 @@
             return 200, {}
         if headers.get("x-expected-instance", self.cfg["id"]) != self.cfg["id"]:
             return 421, {}
+        if path in ("/run-start", "/run-stop") and time.monotonic() < self.refuses_until:
+            self.log("answers 503", order=path, task=body["Task"], run=body["Run"])
+            return 503, {}
+        name = body.get("Task", ""), body.get("Run")
+        if (path == "/run-start" and self.cfg.get("late_prefix") and name[1] == 1
+                and name[0].startswith(self.cfg["late_prefix"])
+                and name not in self.left_unanswered and "x-late" not in headers):
+            self.left_unanswered.add(name)  # the case carries it out later
+            self.log("leaves an order unanswered", task=name[0], run=1, order=body)
+            await asyncio.sleep(3600)
         token = body.get("FencingToken", 0)
         if token < self.token:
             return 409, self.reply(Reason="fence")
