--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -300,7 +300,7 @@
     for row in held.filter(|row| matches!(row.hold, Hold::Held | Hold::Acquiring)) {
         row.hold = Hold::None;
         row.poll = None;
-        row.mark_all_stopping();
+        row.mark_all_stopping(cx.now);
     }
     world.stops.clear();
     world.heartbeat_due = true;
--- a/crates/core/src/guarded/model/reply.rs
+++ b/crates/core/src/guarded/model/reply.rs
@@ -103,8 +103,10 @@
     Fenced,
     /// Another boot of the worker, or another worker, answered.
     OtherBoot,
+    /// Not stopped: the worker refused the request.
+    Refused,
     /// No answer: the stop may be carried out later.
-    Silent,
+    Unanswered,
 }
 
 /// Parses a task id of the form `job.repetition.step.index`, where the job is hexadecimal. Returns
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -27,11 +27,17 @@
     pub unanswered_requests: u64,
     /// Stop requests sent.
     pub stops: u64,
+    /// Stops that a worker refused for reasons other than a fencing token or a reboot.
+    pub stops_refused: u64,
+    /// Runs whose stop had no effect for too long.
+    pub stops_overdue: u64,
+    /// Times that a worker's lease was no longer renewed because a stop there had no effect.
+    pub leases_withheld: u64,
     /// Polls sent to workers.
     pub polls: u64,
     /// Acquisitions of workers begun.
     pub acquisitions: u64,
-    /// Workers whose runs ended because their lease expired.
+    /// Workers whose runs ended because their lease expired, while they were silent or it was withheld.
     pub expired_leases: u64,
     /// Ejections of workers for failures.
     pub ejections: u64,
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -61,7 +61,12 @@
 fn has_free_worker(world: &World, now: Time) -> bool {
     let stale_after = world.policy.worker_stale_after;
     let mut rows = world.workers.values();
-    rows.any(|row| row.is_usable(now, stale_after) && row.admits_run() && row.free().cpu_milli > 0)
+    rows.any(|row| {
+        row.is_usable(now, stale_after)
+            && row.may_extend_lease()
+            && row.admits_run()
+            && row.free().cpu_milli > 0
+    })
 }
 
 fn rank_job(world: &World, now: Time, job: &RunnerJob) -> Rank {
@@ -230,6 +235,7 @@
 ) -> bool {
     row.entry.upstream == job.job.settings.upstream
         && row.is_usable(now, world.policy.worker_stale_after)
+        && row.may_extend_lease()
         && row.admits_run()
         && row.free().can_fit(&step.need)
         && quarantine::admits(world, now, row, task)
@@ -260,13 +266,13 @@
 /// Factor on the run time of a task that runs outside the rack that holds its data.
 const REMOTE_RACK_FACTOR: f64 = 1.5;
 
-/// Starts a task on a worker. Returns `None` if the worker or the job is gone, or if the worker's
-/// clock is not known.
+/// Starts a task on a worker. Returns `None` if the worker or the job is gone, if the worker's
+/// clock is not known, or if its lease must not be extended.
 fn start_run(world: &mut World, cx: &mut Cx<'_>, task: TaskId, worker: WorkerId) -> Option<RunId> {
     let lease = world.policy.lease;
     let row = world.workers.get_mut(&worker)?;
     let token = row.token;
-    let lease_end_ms = row.extend_lease(cx.now, lease)?;
+    let lease_end_ms = row.renew_lease(cx.now, lease)?;
     let row = world.workers.get(&worker)?;
     let job = world.jobs.get(&task.job)?;
     let step = &job.job.steps[task.step as usize];
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -5,6 +5,7 @@
 use crate::guarded::model::ids::{FencingToken, RunId, TaskId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
 use crate::guarded::model::resources::Resources;
+use crate::guarded::tables::stop::Stop;
 use crate::guarded::tables::worker::{Hold, PendingPoll, Run, RunState, Worker, WorkerEnd};
 use crate::guarded::world::{Cx, World};
 use crate::model::time::Time;
@@ -14,8 +15,8 @@
 const REPLACE_POLL_AFTER: Duration = Duration::from_millis(80);
 /// Factor on the predicted run time after which a run should have ended.
 const OVERDUE_FACTOR: f64 = 1.5;
-/// Wait time of a poll while the runs of an earlier holder end.
-const ACQUIRING_POLL_WAIT: Duration = Duration::from_millis(20);
+/// Wait time of a poll while runs that must end keep the worker from being held or renewed.
+const ENDING_POLL_WAIT: Duration = Duration::from_millis(20);
 /// Delay before the next attempt to acquire a worker that another VM acquired.
 const REACQUIRE_DELAY: Duration = Duration::from_millis(1_500);
 /// Delay before the next attempt with a higher token, when the first token of an acquisition was
@@ -74,7 +75,7 @@
 fn is_presumed_lost(row: &Worker, poll: PendingPoll, now: Time) -> bool {
     let should_have_ended = |run: &Run| match run.state {
         RunState::Running(since) => now.since(since) > run.predicted.mul_f64(OVERDUE_FACTOR),
-        RunState::Starting | RunState::Stopping { .. } => false,
+        RunState::Starting | RunState::Stopping(_) => false,
     };
     row.hold == Hold::Held
         && now.since(poll.sent_at) > REPLACE_POLL_AFTER
@@ -93,10 +94,11 @@
     });
     let is_responsive = cx.now.since(row.last_answer_at) < policy.worker_stale_after;
     let (lease_end_ms, wait) = match row.hold {
-        Hold::Held if is_responsive => (row.extend_lease(cx.now, policy.lease), policy.poll_wait),
+        Hold::Held if is_responsive && !row.may_extend_lease() => (None, ENDING_POLL_WAIT),
+        Hold::Held if is_responsive => (row.renew_lease(cx.now, policy.lease), policy.poll_wait),
         // The lease of a silent worker is left to expire, so that its tasks can start elsewhere.
         Hold::Held => (None, Duration::ZERO),
-        Hold::Acquiring if !row.runs.is_empty() => (None, ACQUIRING_POLL_WAIT),
+        Hold::Acquiring if !row.runs.is_empty() => (None, ENDING_POLL_WAIT),
         _ => (None, Duration::ZERO),
     };
     // A worker refuses token 0 once it has seen any token, so a probe has no effect on it.
@@ -154,7 +156,7 @@
     let confirmed = row.runs.values().filter(is_confirmed);
     let confirmed: Vec<TaskId> = confirmed.map(|run| run.id.task).collect();
     row.forget_boot(cx.now);
-    row.mark_all_stopping();
+    row.mark_all_stopping(cx.now);
     for task in confirmed {
         world.end_run(id, task, Some(RunEnd::Crashed));
     }
@@ -268,7 +270,7 @@
     };
     row.forget_boot(cx.now);
     row.boot = boot;
-    row.mark_all_stopping();
+    row.mark_all_stopping(cx.now);
     holds::begin_acquisition(world, cx, id);
 }
 
@@ -332,6 +334,11 @@
 
 /// Confirms the starts of listed runs, and stops listed runs that this VM did not start.
 fn apply_running_runs(world: &mut World, cx: &Cx<'_>, id: WorkerId, status: &WorkerStatus) {
+    let grace = world.policy.stop_grace * 2;
+    if let Some(row) = world.workers.get_mut(&id) {
+        let is_listed = |run: RunId| status.running.iter().any(|row| row.run == run);
+        row.untracked.retain(|&run, _| is_listed(run));
+    }
     for running in &status.running {
         let ended = status.ended.iter().any(|ended| ended.run == running.run);
         let Some(row) = world.workers.get_mut(&id) else {
@@ -339,28 +346,31 @@
         };
         match row.runs.get_mut(&running.run.task) {
             Some(run) if run.id == running.run => {
-                confirm_or_stop(&mut world.stops, cx.now, id, run);
+                run.is_confirmed = true;
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running(cx.now);
+                }
             }
             _ if ended => {}
-            Some(_) => world.stops.push((id, running.run)),
+            Some(_) => {
+                let stop = Stop::new(cx.now);
+                row.untracked.entry(running.run).or_insert(stop);
+            }
             None => add_unknown_run(world, cx.now, id, running.run),
         }
+        repeat_stop(world, cx.now, id, running.run, grace);
     }
 }
 
-/// Confirms a start, or repeats a stop that seems to be lost.
-fn confirm_or_stop(stops: &mut Vec<(WorkerId, RunId)>, now: Time, id: WorkerId, run: &mut Run) {
-    run.is_confirmed = true;
-    match &mut run.state {
-        RunState::Starting => run.state = RunState::Running(now),
-        RunState::Stopping {
-            requested_at,
-            acked_at: None,
-        } if now.since(*requested_at) > LISTED_STOP_RETRY => {
-            *requested_at = now;
-            stops.push((id, run.id));
-        }
-        RunState::Running(_) | RunState::Stopping { .. } => {}
+/// Repeats the stop of a listed run, if it has one that seems to be lost or to have had no effect.
+fn repeat_stop(world: &mut World, now: Time, worker: WorkerId, id: RunId, grace: Duration) {
+    let row = world.workers.get_mut(&worker);
+    let Some(stop) = row.and_then(|row| row.stop_mut(id)) else {
+        return;
+    };
+    stop.record_listed(now, grace);
+    if stop.is_due(now, LISTED_STOP_RETRY) {
+        world.stops.push((worker, id));
     }
 }
 
@@ -370,10 +380,7 @@
     let run = Run {
         id,
         need: Resources::default(),
-        state: RunState::Stopping {
-            requested_at: now,
-            acked_at: None,
-        },
+        state: RunState::Stopping(Stop::new(now)),
         requested_at: now,
         estimate: Duration::ZERO,
         predicted: Duration::ZERO,
@@ -385,7 +392,6 @@
         row.assume_max_lease(now);
     }
     world.add_run(worker, run);
-    world.stops.push((worker, id));
 }
 
 /// Ends the runs that the worker does not list although it should: their start was confirmed or
@@ -405,9 +411,7 @@
             _ if row.hold == Hold::Acquiring => true,
             RunState::Starting => false,
             RunState::Running(since) => since < sent_at,
-            RunState::Stopping { acked_at, .. } => {
-                acked_at.is_some_and(|acked_at| acked_at < sent_at)
-            }
+            RunState::Stopping(stop) => stop.acked_at.is_some_and(|acked_at| acked_at < sent_at),
         })
         .map(|run| run.id.task)
         .collect();
--- a/crates/core/src/guarded/systems/quarantine.rs
+++ b/crates/core/src/guarded/systems/quarantine.rs
@@ -164,7 +164,7 @@
 fn predicted_end(run: &Run) -> Time {
     let since = match run.state {
         RunState::Running(since) => since,
-        RunState::Starting | RunState::Stopping { .. } => run.requested_at,
+        RunState::Starting | RunState::Stopping(_) => run.requested_at,
     };
     since + run.predicted
 }
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -99,7 +99,7 @@
     let held = row.hold == Hold::Held;
     let is_responsive = cx.now.since(row.last_answer_at) < policy.worker_stale_after;
     let lease_end_ms = if is_responsive {
-        row.extend_lease(cx.now, policy.lease)
+        row.renew_lease(cx.now, policy.lease)
     } else {
         None
     };
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -51,6 +51,7 @@
     stop_hanging_runs(world, cx);
     remove_missing_workers(world, cx);
     stops::resend_unacked(world, cx.now);
+    stops::report_overdue(world, cx.now);
     stops::end_expired_leases(world, cx);
 }
 
@@ -139,7 +140,7 @@
         RunState::Running(since) => {
             cx.now.since(since) > run.predicted.mul_f64(HANG_FACTOR) + HANG_SLACK
         }
-        RunState::Starting | RunState::Stopping { .. } => false,
+        RunState::Starting | RunState::Stopping(_) => false,
     };
     let hanging: Vec<(WorkerId, RunId)> = world
         .workers
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -4,6 +4,7 @@
 use crate::guarded::model::resources::Resources;
 use crate::guarded::model::worker::WorkerEntry;
 use crate::guarded::policy::CLOCK_SLACK;
+use crate::guarded::tables::stop::Stop;
 use crate::model::time::Time;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -53,13 +54,8 @@
     Starting,
     /// The run was confirmed at this time.
     Running(Time),
-    /// The stop was sent at `requested_at` and acknowledged at `acked_at`.
-    Stopping {
-        /// Time at which the stop was last sent.
-        requested_at: Time,
-        /// Time of the acknowledgement; `None` until it arrives.
-        acked_at: Option<Time>,
-    },
+    /// The run is being stopped.
+    Stopping(Stop),
 }
 
 /// A run on a worker, present or possibly present.
@@ -163,6 +159,11 @@
     pub last_answer_at: Time,
     /// Runs that are present or may be.
     pub runs: BTreeMap<TaskId, Run>,
+    /// Listed runs of tasks of which `runs` has another run. They were started by an earlier holder,
+    /// or by this VM before it forgot them.
+    pub untracked: BTreeMap<RunId, Stop>,
+    /// Time since which the lease is not renewed because a stop there has no effect.
+    pub withheld_since: Option<Time>,
     /// Resources that the runs occupy.
     pub used: Resources,
     /// Failures and slowdown.
@@ -201,6 +202,8 @@
             last_seen: 0,
             last_answer_at: Time::ZERO,
             runs: BTreeMap::new(),
+            untracked: BTreeMap::new(),
+            withheld_since: None,
             used: Resources::default(),
             health: Health::default(),
             next_probe_at: Time::ZERO,
@@ -240,12 +243,14 @@
 
     /// Discards what is known of the worker's boot. A new boot has a new clock and numbers its ended
     /// runs anew.
-    pub const fn forget_boot(&mut self, now: Time) {
+    pub fn forget_boot(&mut self, now: Time) {
         self.boot = None;
         self.last_seen = 0;
         self.clock = None;
         self.lease_end_ms = 0;
         self.clock_unknown_since = Some(now);
+        self.untracked.clear();
+        self.withheld_since = None;
     }
 
     /// Returns an estimate of the worker's clock at `now`, in milliseconds.
@@ -255,9 +260,55 @@
         Some(sample.clock_ms.saturating_add(passed))
     }
 
+    /// Returns whether everything that runs on the worker may go on. Not so while a run that should
+    /// end is not known to: its job may be at work elsewhere when the lease would have expired.
+    pub fn may_extend_lease(&self) -> bool {
+        self.untracked.is_empty() && !self.stops().any(|(_, stop)| stop.forbids_lease())
+    }
+
+    /// Returns the stops of runs there that are not known to have ended.
+    pub fn stops(&self) -> impl Iterator<Item = (RunId, &Stop)> {
+        let tracked = self.runs.values().filter_map(|run| match &run.state {
+            RunState::Stopping(stop) => Some((run.id, stop)),
+            RunState::Starting | RunState::Running(_) => None,
+        });
+        tracked.chain(self.untracked.iter().map(|(&id, stop)| (id, stop)))
+    }
+
+    /// Same as [`Self::stops`], to change them.
+    pub fn stops_mut(&mut self) -> impl Iterator<Item = (RunId, &mut Stop)> {
+        let runs = self.runs.values_mut();
+        let tracked = runs.filter_map(|run| match &mut run.state {
+            RunState::Stopping(stop) => Some((run.id, stop)),
+            RunState::Starting | RunState::Running(_) => None,
+        });
+        tracked.chain(self.untracked.iter_mut().map(|(&id, stop)| (id, stop)))
+    }
+
+    /// Returns the stop of a run.
+    pub fn stop_mut(&mut self, id: RunId) -> Option<&mut Stop> {
+        let mut stops = self.stops_mut();
+        stops.find(|(run, _)| *run == id).map(|(_, stop)| stop)
+    }
+
     /// Computes the end of a lease of `span` from now, on the worker's clock in milliseconds, and
-    /// remembers it as requested. Returns `None` if the clock is unknown.
-    pub fn extend_lease(&mut self, now: Time, span: Duration) -> Option<u64> {
+    /// remembers it as requested. Returns `None` if the clock is unknown or the lease must not be
+    /// extended.
+    pub fn renew_lease(&mut self, now: Time, span: Duration) -> Option<u64> {
+        if !self.may_extend_lease() {
+            return None;
+        }
+        self.extend_lease(now, span)
+    }
+
+    /// Returns the time until the last requested lease ends, on the worker's clock; zero if the clock
+    /// is unknown.
+    pub fn lease_left(&self, now: Time) -> Duration {
+        let clock_ms = self.clock_at(now).unwrap_or(u64::MAX);
+        Duration::from_millis(self.lease_end_ms.saturating_sub(clock_ms))
+    }
+
+    fn extend_lease(&mut self, now: Time, span: Duration) -> Option<u64> {
         let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         let end = self.clock_at(now)?.saturating_add(span);
         self.lease_end_ms = self.lease_end_ms.max(end);
@@ -273,9 +324,10 @@
                 .clock_unknown_since
                 .is_none_or(|since| now.since(since) > longest);
         };
-        let left = self.lease_end_ms.saturating_sub(sample.clock_ms);
-        let span = Duration::from_millis(left).mul_f64(CLOCK_SLACK) + grace;
-        now.since(sample.at) > span
+        let grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX);
+        let end_ms = self.lease_end_ms.saturating_add(grace_ms);
+        let left = Duration::from_millis(end_ms.saturating_sub(sample.clock_ms));
+        now.since(sample.at) >= left.mul_f64(CLOCK_SLACK)
     }
 
     /// Returns whether the worker may get new runs.
@@ -285,6 +337,7 @@
             && self.health.ejected_until <= now
             && self.full_until <= now
             && self.clock.is_some()
+            && self.withheld_since.is_none()
             && now.since(self.last_answer_at) < stale_after
     }
 
@@ -303,13 +356,15 @@
         self.health.failures == 0 || self.runs.is_empty()
     }
 
-    /// Marks every run as stopping. The stops are sent when the worker lists the runs.
-    pub fn mark_all_stopping(&mut self) {
+    /// Marks every run as stopping, also those whose stop was acknowledged. The stops are sent once
+    /// the worker is being acquired.
+    pub fn mark_all_stopping(&mut self, now: Time) {
         for run in self.runs.values_mut() {
-            run.state = RunState::Stopping {
-                requested_at: Time::ZERO,
-                acked_at: None,
+            let stop = match run.state {
+                RunState::Stopping(stop) => stop.again(),
+                RunState::Starting | RunState::Running(_) => Stop::new(now),
             };
+            run.state = RunState::Stopping(stop);
         }
     }
 
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -182,6 +182,8 @@
     pub delayed_request_ratio: f64,
     /// Fraction of replies from workers that are lost.
     pub lost_reply_ratio: f64,
+    /// Fraction of stops that never reach their worker.
+    pub lost_stop_ratio: f64,
     shape: Shape,
     seq: u64,
     queue: BTreeMap<(u64, u64), SimEvent>,
@@ -234,6 +236,7 @@
             workers,
             delayed_request_ratio: 0.0,
             lost_reply_ratio: 0.0,
+            lost_stop_ratio: 0.0,
             shape,
             seq: 0,
             queue: BTreeMap::new(),
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -180,6 +180,14 @@
             );
             return;
         }
+        // Drawn only while stops are lost, so that seeds without it give the same course.
+        if matches!(action, Action::Stop { .. })
+            && self.lost_stop_ratio > 0.0
+            && self.rng.random_bool(self.lost_stop_ratio)
+        {
+            self.reply_unanswered(vm, &action, REQUEST_TIMEOUT);
+            return;
+        }
         let answered = !self.rng.random_bool(self.lost_reply_ratio);
         if !answered {
             self.reply_unanswered(vm, &action, REQUEST_TIMEOUT + wait);
@@ -206,7 +214,7 @@
             Action::Stop { worker, run, .. } => Event::Stopped {
                 worker: *worker,
                 run: *run,
-                reply: StopReply::Silent,
+                reply: StopReply::Unanswered,
             },
             _ => return,
         };
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -50,6 +50,8 @@
     pub started: u64,
     /// Whether it rejects runs for which it has no room.
     pub guards_capacity: bool,
+    /// Whether it refuses every stop and does nothing for it.
+    pub refuses_stops: bool,
     /// Capacity before it last shrank, and the time until which that still counts.
     former_capacity: Option<(Resources, u64)>,
 }
@@ -79,6 +81,7 @@
             rejected_for_capacity: 0,
             started: 0,
             guards_capacity: true,
+            refuses_stops: false,
             former_capacity: None,
         }
     }
@@ -88,11 +91,13 @@
         let started = self.started;
         let behaviour = self.behaviour;
         let guards_capacity = self.guards_capacity;
+        let refuses_stops = self.refuses_stops;
         let former_capacity = self.former_capacity;
         *self = Self {
             behaviour,
             started,
             guards_capacity,
+            refuses_stops,
             former_capacity,
             ..Self::new(now, self.capacity, self.clock_rate)
         };
@@ -286,6 +291,9 @@
     /// Handles the stop of a run. The run ends after `STOP_GRACE` unless it is done before.
     pub fn stop(&mut self, now: u64, run: RunId, token: FencingToken) -> StopReply {
         self.advance(now);
+        if self.refuses_stops {
+            return StopReply::Refused;
+        }
         if !self.accept_token(token) {
             return StopReply::Fenced;
         }
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -67,6 +67,9 @@
             counter!("cardamomslip_starts_refused_total").absolute(stats.starts_refused);
             counter!("cardamomslip_orders_silent_total").absolute(stats.unanswered_requests);
             counter!("cardamomslip_stops_total").absolute(stats.stops);
+            counter!("cardamomslip_stops_refused_total").absolute(stats.stops_refused);
+            counter!("cardamomslip_stops_overdue_total").absolute(stats.stops_overdue);
+            counter!("cardamomslip_leases_withheld_total").absolute(stats.leases_withheld);
             counter!("cardamomslip_looks_total").absolute(stats.polls);
             counter!("cardamomslip_takeovers_total").absolute(stats.acquisitions);
             counter!("cardamomslip_lapses_total").absolute(stats.expired_leases);
