http: distrust idle connections after an unanswered request

The same pool holds the connections to the store.

Cause: `Pool::take_idle` hands out any open idle connection, and an unanswered request said nothing about the others.

Change: a request in progress holds a `Connection`. If it is dropped before its response was read to the end (that is how a timeout in `call::send` ends it), and it was a reused one, the pool closes the idle connections that have not answered since that request was due. For a request that the server may hold (long poll, watch), due is the end of that wait: a connection that answered in between may have gone silent together with it. An error that the connection itself shows (reset, close) closes no others. `cardamomslip_connections_opened_total{server,reason}` counts `none_idle` and `siblings_distrusted`.

`connections_that_answered_since_are_kept` passed before and after; the test of a lost long poll needs the new API.

--- a/src/executors/http.rs
+++ b/src/executors/http.rs
@@ -150,12 +150,12 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body)))
         .map_err(|e| unsent(e.to_string()))?;
-    let (response, sender) = pool.send(req).await?.into_parts();
+    let (response, connection) = pool.send(req).await?.into_parts();
     let read = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
         .collect()
         .await;
     let body = read.map_err(|e| PoolError::NoResponse(e.to_string()))?;
-    pool.put_back(sender);
+    pool.put_back(connection);
     Ok(body.to_bytes())
 }
 
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of the dispatcher.
 
+use crate::http::OpenedConnections;
 use cardamomslip_core::guarded::Stats;
 use cardamomslip_core::guarded::model::answer::Answer;
 use metrics::{counter, gauge, histogram, with_local_recorder};
@@ -90,6 +91,21 @@
         });
     }
 
+    /// Sets the number of connections opened to servers of a kind.
+    pub fn record_opened(&self, server: &'static str, opened: &OpenedConnections) {
+        let reasons = [
+            ("none_idle", opened.none_idle()),
+            ("siblings_distrusted", opened.distrusted()),
+        ];
+        with_local_recorder(&*self.recorder, || {
+            for (reason, count) in reasons {
+                counter!("cardamomslip_connections_opened_total",
+                    "server" => server, "reason" => reason)
+                .absolute(count);
+            }
+        });
+    }
+
     /// Sets the total number of dropped log lines.
     pub fn record_dropped_log_lines(&self, lines: u64) {
         with_local_recorder(&*self.recorder, || {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,5 +6,5 @@
 mod server;
 
 pub use exchange::{Exchange, Reply};
-pub use pool::{Pool, PoolError, PooledResponse};
+pub use pool::{Connection, OpenedConnections, Pool, PoolError, PooledResponse};
 pub use server::{HttpConfig, HttpServer};
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -4,11 +4,13 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
@@ -17,7 +19,7 @@
 const PROCESS_END_WINDOW: Duration = Duration::from_millis(300);
 
 /// Request sender of a connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+type Sender = SendRequest<Full<Bytes>>;
 
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
@@ -60,25 +62,108 @@
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
-    since: Instant,
+    /// Time of the last complete response on it.
+    proven_at: Instant,
+}
+
+/// The idle connections of a pool.
+#[derive(Debug, Default)]
+struct IdleTable {
+    idle: Vec<Idle>,
+    /// When each distrusted connection was last proven alive, until it would not have been reused
+    /// anyway.
+    distrusted: Vec<Instant>,
+}
+
+impl IdleTable {
+    fn remove_expired(&mut self, idle_timeout: Duration) {
+        self.idle
+            .retain(|row| row.proven_at.elapsed() < idle_timeout && !row.sender.is_closed());
+        self.distrusted.retain(|at| at.elapsed() < idle_timeout);
+    }
+}
+
+/// Number of connections that pools have opened, by reason. Clones share the counters.
+#[derive(Clone, Debug, Default)]
+pub struct OpenedConnections(Arc<OpenedCounters>);
+
+#[derive(Debug, Default)]
+struct OpenedCounters {
+    none_idle: AtomicU64,
+    distrusted: AtomicU64,
+}
+
+impl OpenedConnections {
+    /// Returns how many were opened because no connection was idle.
+    #[must_use]
+    pub fn none_idle(&self) -> u64 {
+        self.0.none_idle.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many were opened in place of idle ones that were closed after an unanswered
+    /// request.
+    #[must_use]
+    pub fn distrusted(&self) -> u64 {
+        self.0.distrusted.load(Ordering::Relaxed)
+    }
 }
 
 /// A pool of connections to one server. Clones share the connections.
+///
+/// Open connections may go silent without a reset. An unanswered request on a reused connection
+/// therefore closes the idle ones that have not answered since.
 #[derive(Clone, Debug)]
 pub struct Pool {
     address: Arc<str>,
     idle_timeout: Duration,
     connect_timeout: Duration,
-    idle: Arc<Mutex<Vec<Idle>>>,
+    table: Arc<Mutex<IdleTable>>,
+    opened: OpenedConnections,
     closes: ServerCloses,
 }
 
+/// A connection with a request in progress. If it is dropped before [`Pool::put_back`], the request
+/// was not answered.
+#[derive(Debug)]
+pub struct Connection {
+    sender: Option<Sender>,
+    pool: Pool,
+    /// Whether it was idle before the request.
+    reused: bool,
+    /// Time at which the server was to answer.
+    due_at: Instant,
+}
+
+impl Connection {
+    /// Sends a request. After an error, the connection has ended visibly, which says nothing about
+    /// others.
+    async fn try_send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<hyper::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let sender = self.sender.as_mut().expect("it was not put back");
+        let result = sender.try_send_request(req).await;
+        if result.is_err() {
+            self.sender = None;
+        }
+        result
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.reused && self.sender.is_some() {
+            self.pool.distrust_idle(self.due_at);
+        }
+    }
+}
+
 /// A response and the connection that it was received on.
 #[derive(Debug)]
 pub struct PooledResponse {
     /// Response whose body has not been read yet.
     pub response: hyper::Response<Incoming>,
-    sender: Sender,
+    connection: Connection,
 }
 
 impl Pool {
@@ -90,18 +175,25 @@
             address,
             idle_timeout,
             connect_timeout,
-            idle: Arc::default(),
+            table: Arc::default(),
+            opened: OpenedConnections::default(),
             closes: ServerCloses::default(),
         }
     }
 
+    /// Counts the connections that this pool opens in `opened`.
+    #[must_use]
+    pub fn counted_in(self, opened: OpenedConnections) -> Self {
+        Self { opened, ..self }
+    }
+
     /// Returns the address of the server as `ip:port`.
     #[must_use]
     pub fn address(&self) -> &str {
         &self.address
     }
 
-    /// Sends a request on an idle connection or on a new one.
+    /// Sends a request, which the server may answer at once, on an idle connection or on a new one.
     ///
     /// If an idle connection fails and `hyper` returns the request, no part of it was written, so
     /// it is sent again on a new connection.
@@ -111,19 +203,41 @@
     /// Returns an error for which [`PoolError::is_unsent`] holds only if no part of the request was
     /// written.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<PooledResponse, PoolError> {
-        let req = match self.take_idle() {
+        self.send_waiting(req, Duration::ZERO).await
+    }
+
+    /// Same as [`Pool::send`], for a request that the server may hold for `wait` before it answers.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Pool::send`].
+    pub async fn send_waiting(
+        &self,
+        req: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<PooledResponse, PoolError> {
+        let due_at = Instant::now() + wait;
+        let req = match self.take_idle(due_at) {
             None => req,
-            Some(mut sender) => match sender.try_send_request(req).await {
-                Ok(response) => return Ok(PooledResponse { response, sender }),
+            Some(mut connection) => match connection.try_send(req).await {
+                Ok(response) => {
+                    return Ok(PooledResponse {
+                        response,
+                        connection,
+                    });
+                }
                 Err(mut e) => match e.take_message() {
                     Some(req) => req,
                     None => return Err(PoolError::from_sent(e.error())),
                 },
             },
         };
-        let mut sender = self.connect().await?;
-        match sender.try_send_request(req).await {
-            Ok(response) => Ok(PooledResponse { response, sender }),
+        let mut connection = self.connect(due_at).await?;
+        match connection.try_send(req).await {
+            Ok(response) => Ok(PooledResponse {
+                response,
+                connection,
+            }),
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
                 Err(if unsent {
@@ -137,12 +251,13 @@
 
     /// Returns the connection of a response to the pool. The body of the response must have been
     /// read to its end.
-    pub fn put_back(&self, sender: Sender) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.push(Idle {
-            sender,
-            since: Instant::now(),
-        });
+    pub fn put_back(&self, mut connection: Connection) {
+        if let Some(sender) = connection.sender.take() {
+            self.table().idle.push(Idle {
+                sender,
+                proven_at: Instant::now(),
+            });
+        }
     }
 
     /// Forgets that the server closed connections, after the end of its process was reported.
@@ -152,21 +267,60 @@
 
     /// Closes all idle connections.
     pub fn clear(&self) {
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        self.table().idle.clear();
+    }
+
+    fn table(&self) -> MutexGuard<'_, IdleTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes the most recently used connection that is open and has not been idle for too long.
-    fn take_idle(&self) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|row| row.since.elapsed() < self.idle_timeout && !row.sender.is_closed());
-        let position = idle.iter().rposition(|row| row.sender.is_ready())?;
-        Some(idle.remove(position).sender)
+    fn take_idle(&self, due_at: Instant) -> Option<Connection> {
+        let mut table = self.table();
+        table.remove_expired(self.idle_timeout);
+        let position = table.idle.iter().rposition(|row| row.sender.is_ready())?;
+        Some(Connection {
+            sender: Some(table.idle.remove(position).sender),
+            pool: self.clone(),
+            reused: true,
+            due_at,
+        })
+    }
+
+    /// Closes the idle connections that have not answered since a request that was due then and got
+    /// no answer.
+    fn distrust_idle(&self, due_at: Instant) {
+        let mut table = self.table();
+        let IdleTable { idle, distrusted } = &mut *table;
+        let closed = idle.extract_if(.., |row| row.proven_at <= due_at);
+        let closed: Vec<Instant> = closed.map(|row| row.proven_at).collect();
+        let kept = idle.len();
+        distrusted.extend(&closed);
+        drop(table);
+        if let Some(oldest) = closed.iter().min() {
+            tracing::info!(
+                address = &*self.address,
+                overdue_ms = due_at.elapsed().as_millis(),
+                closed = closed.len(),
+                kept,
+                oldest_answer_ms = oldest.elapsed().as_millis(),
+                "closed idle connections after an unanswered request"
+            );
+        }
+    }
+
+    /// Counts a new connection.
+    fn record_opened(&self) {
+        let counters = &self.opened.0;
+        let counter = if self.table().distrusted.pop().is_some() {
+            &counters.distrusted
+        } else {
+            &counters.none_idle
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
     }
 
-    async fn connect(&self) -> Result<Sender, PoolError> {
+    async fn connect(&self, due_at: Instant) -> Result<Connection, PoolError> {
         let unsent = |e: String| PoolError::Unsent(e);
         let address: SocketAddr = self
             .address
@@ -176,6 +330,7 @@
         let connecting = timeout(self.connect_timeout, connecting);
         let stream = connecting.await.map_err(|e| unsent(e.to_string()))?;
         let stream = stream.map_err(|e| self.classify_connect(&e))?;
+        self.record_opened();
         let handshaken = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshaken.map_err(|e| unsent(e.to_string()))?;
         tokio::spawn(async move {
@@ -183,7 +338,12 @@
                 tracing::debug!(error = %e, "connection to a server failed");
             }
         });
-        Ok(sender)
+        Ok(Connection {
+            sender: Some(sender),
+            pool: self.clone(),
+            reused: false,
+            due_at,
+        })
     }
 
     /// Classifies the failure of a connection attempt.
@@ -200,7 +360,7 @@
 impl PooledResponse {
     /// Returns the response and its connection.
     #[must_use]
-    pub fn into_parts(self) -> (hyper::Response<Incoming>, Sender) {
-        (self.response, self.sender)
+    pub fn into_parts(self) -> (hyper::Response<Incoming>, Connection) {
+        (self.response, self.connection)
     }
 }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,28 +1,40 @@
-//! How the client pool tells the end of a server's process from a lost route.
+//! How the client pool tells the end of a server's process from a lost route, and which idle
+//! connections it trusts.
 
-use cardamomslip::http::{Pool, PoolError};
+use cardamomslip::http::{OpenedConnections, Pool, PoolError};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Bytes;
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::runtime::Runtime;
+use tokio::time::timeout;
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time that the pool needs to notice the end of an idle connection.
 const NOTICE_TIME: Duration = Duration::from_millis(100);
+/// Time that a server needs for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(40);
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Sends a request and reads the whole response.
 async fn send(pool: &Pool) -> Result<(), PoolError> {
+    send_waiting(pool, Duration::ZERO).await
+}
+
+/// Sends a request that the server may hold for `wait`, and reads the whole response.
+async fn send_waiting(pool: &Pool, wait: Duration) -> Result<(), PoolError> {
     let req = Request::builder().uri("/").header("host", "server");
     let req = req.body(Full::new(Bytes::new())).expect("a request");
-    let (response, sender) = pool.send(req).await?.into_parts();
+    let (response, connection) = pool.send_waiting(req, wait).await?.into_parts();
     let body = response.into_body().collect().await;
     body.expect("a response body");
-    pool.put_back(sender);
+    pool.put_back(connection);
     Ok(())
 }
 
@@ -100,3 +112,159 @@
         assert!(matches!(send(&pool).await, Err(PoolError::Unsent(_))));
     });
 }
+
+/// A server whose connections can be made to go silent. New connections always work.
+struct SilencingServer {
+    address: String,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    /// Number of accepted connections.
+    accepted: AtomicUsize,
+    /// Numbers of the connections that answer no more.
+    silent: Mutex<BTreeSet<usize>>,
+    /// Connection that the last request arrived on, from 1.
+    last_used: AtomicUsize,
+}
+
+impl SilencingServer {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("an address").to_string();
+        let shared = Arc::<Shared>::default();
+        let serving = Arc::clone(&shared);
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let shared = Arc::clone(&serving);
+                let number = shared.accepted.fetch_add(1, Ordering::SeqCst) + 1;
+                std::thread::spawn(move || {
+                    shared.serve(number, &mut stream.expect("a connection"));
+                });
+            }
+        });
+        Self { address, shared }
+    }
+
+    fn pool(&self) -> Pool {
+        let address = Arc::from(self.address.as_str());
+        Pool::new(address, IDLE_TIMEOUT, CONNECT_TIMEOUT)
+    }
+
+    fn accepted(&self) -> usize {
+        self.shared.accepted.load(Ordering::SeqCst)
+    }
+
+    /// Makes all open connections go silent.
+    fn silence_all(&self) {
+        let open = 1..=self.accepted();
+        self.shared.silent.lock().expect("a lock").extend(open);
+    }
+
+    /// Makes the connection of the last request go silent, before that request is answered.
+    async fn silence_last_used(&self) {
+        tokio::time::sleep(SERVICE_TIME / 4).await;
+        let number = self.shared.last_used.load(Ordering::SeqCst);
+        self.shared.silent.lock().expect("a lock").insert(number);
+    }
+}
+
+impl Shared {
+    fn serve(&self, number: usize, stream: &mut TcpStream) {
+        let mut byte = [0];
+        // The pool closes the connection.
+        while stream.peek(&mut byte).is_ok_and(|count| count > 0) {
+            read_request(stream);
+            self.last_used.store(number, Ordering::SeqCst);
+            std::thread::sleep(SERVICE_TIME);
+            if !self.silent.lock().expect("a lock").contains(&number) {
+                respond(stream);
+            }
+        }
+    }
+}
+
+/// Opens this many idle connections.
+async fn open_idle(pool: &Pool, count: usize) {
+    let sends: Vec<_> = (0..count)
+        .map(|_| {
+            let pool = pool.clone();
+            tokio::spawn(async move { send(&pool).await })
+        })
+        .collect();
+    for send in sends {
+        send.await.expect("a task").expect("a response");
+    }
+    // Until the connections are ready again.
+    tokio::time::sleep(SERVICE_TIME).await;
+}
+
+/// Guards against a retry that is lost on one silent idle connection after the other.
+#[test]
+fn an_unanswered_request_discredits_older_idle_connections() {
+    let server = SilencingServer::start();
+    Runtime::new().expect("a runtime").block_on(async {
+        let opened = OpenedConnections::default();
+        let pool = server.pool().counted_in(opened.clone());
+        open_idle(&pool, 4).await;
+        assert_eq!(server.accepted(), 4);
+        server.silence_all();
+        let lost = timeout(REQUEST_TIMEOUT, send(&pool)).await;
+        assert!(lost.is_err(), "the connections are silent");
+        let retried = timeout(REQUEST_TIMEOUT, send(&pool)).await;
+        assert!(
+            retried.is_ok_and(|sent| sent.is_ok()),
+            "the retry was lost too"
+        );
+        assert_eq!(server.accepted(), 5);
+        assert_eq!((opened.none_idle(), opened.distrusted()), (4, 1));
+    });
+}
+
+/// Guards against connections that are opened for nothing: requests are answered, and one that is
+/// not says nothing about a connection that answered after it was sent.
+#[test]
+fn connections_that_answered_since_are_kept() {
+    let server = SilencingServer::start();
+    Runtime::new().expect("a runtime").block_on(async {
+        let pool = server.pool();
+        open_idle(&pool, 2).await;
+        for _ in 0..10 {
+            send(&pool).await.expect("a response");
+            tokio::time::sleep(SERVICE_TIME / 4).await;
+        }
+        assert_eq!(server.accepted(), 2);
+        let (lost, answered) = tokio::join!(timeout(REQUEST_TIMEOUT, send(&pool)), async {
+            server.silence_last_used().await;
+            send(&pool).await
+        });
+        assert!(lost.is_err() && answered.is_ok(), "{lost:?}, {answered:?}");
+        send(&pool).await.expect("a response");
+        assert_eq!(server.accepted(), 2);
+    });
+}
+
+/// Guards against a second loss after a lost long poll: an idle connection answered after the poll
+/// was sent, and went silent with it before the poll was due.
+#[test]
+fn a_lost_long_poll_discredits_connections_that_answered_before_it_was_due() {
+    let server = SilencingServer::start();
+    Runtime::new().expect("a runtime").block_on(async {
+        let pool = server.pool();
+        open_idle(&pool, 2).await;
+        let wait = SERVICE_TIME * 5;
+        let poll = timeout(wait + REQUEST_TIMEOUT, send_waiting(&pool, wait));
+        let (lost, answered) = tokio::join!(poll, async {
+            server.silence_last_used().await;
+            send(&pool).await
+        });
+        assert!(lost.is_err() && answered.is_ok(), "{lost:?}, {answered:?}");
+        server.silence_all();
+        let retried = timeout(REQUEST_TIMEOUT, send(&pool)).await;
+        assert!(
+            retried.is_ok_and(|sent| sent.is_ok()),
+            "the retry was lost too"
+        );
+    });
+}
