oracle: refused and lost requests, one-way losses, restarts and replaced workers

New: a worker refuses stops (ModelWorker::refuses_stops), starts or polls for a while; stops are lost (Sim::lost_stop_ratio); requests of one kind from a VM or from all to a worker are lost while others arrive, as over connections that went silent; replies alone are lost for a pair; a worker crashes and starts again under its id after 0 to 3.3 s, its clock anew or at a random value, with all its capacity or less; another worker answers at its address for a while (421), then it is back. A late request that another worker refuses is no longer answered after its timeout.

The new operations have small weights. Nothing is drawn from the simulation's generator without the new faults, so these keep their course.

--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -1,6 +1,6 @@
 //! Property test: random sequences of jobs and faults, with the invariants checked throughout.
 
-use crate::sim::{EQUAL, JobShape, Shape, Sim};
+use crate::sim::{EQUAL, Fault, JobShape, Request, Restart, Shape, Sim};
 use crate::worker::Behaviour;
 use cardamomslip_core::guarded::model::answer::Answer;
 use proptest::prelude::*;
@@ -82,7 +82,24 @@
     DelayRequests(u8),
     /// Sets the percentage of replies from workers that are lost.
     LoseReplies(u8),
+    /// Sets the percentage of stops that are lost.
+    LoseStops(u8),
     RebootWorker(usize),
+    /// Crashes a worker, which starts again under its id.
+    RestartWorker {
+        worker: usize,
+        restart: Restart,
+    },
+    /// Lets another worker answer at the address of a worker for a while.
+    ReplaceWorker {
+        worker: usize,
+        ms: u64,
+    },
+    /// Begins a fault between VMs and workers that lasts for a while.
+    Begin {
+        fault: Fault,
+        ms: u64,
+    },
     DrainWorker(usize),
     SetBehaviour {
         worker: usize,
@@ -147,6 +164,12 @@
         1 => (0_u8..40).prop_map(Op::DelayRequests),
         1 => (0_u8..40).prop_map(Op::LoseReplies),
         1 => worker.clone().prop_map(Op::RebootWorker),
+        1 => (0_u8..100).prop_map(Op::LoseStops),
+        1 => (worker.clone(), restart())
+            .prop_map(|(worker, restart)| Op::RestartWorker { worker, restart }),
+        1 => (worker.clone(), 100_u64..5_000)
+            .prop_map(|(worker, ms)| Op::ReplaceWorker { worker, ms }),
+        2 => (fault(shape), 100_u64..6_000).prop_map(|(fault, ms)| Op::Begin { fault, ms }),
         1 => worker.clone().prop_map(Op::DrainWorker),
         1 => (worker, behaviour)
             .prop_map(|(worker, behaviour)| Op::SetBehaviour { worker, behaviour }),
@@ -156,6 +179,40 @@
     ]
 }
 
+/// A fault between VMs and workers.
+fn fault(shape: Shape) -> impl Strategy<Value = Fault> {
+    let vm = prop::option::of(0..shape.vms);
+    let worker = 0..shape.workers;
+    let request = prop_oneof![
+        Just(Request::Stop),
+        Just(Request::Start),
+        Just(Request::Poll)
+    ];
+    prop_oneof![
+        (worker.clone(), request.clone())
+            .prop_map(|(worker, request)| Fault::Refusal { worker, request }),
+        (vm.clone(), worker.clone(), request).prop_map(|(vm, worker, request)| Fault::Loss {
+            vm,
+            worker,
+            request
+        }),
+        (vm, worker).prop_map(|(vm, worker)| Fault::LostReplies { vm, worker }),
+    ]
+}
+
+/// How a worker starts again: soon or not, its clock anew or anywhere, with all its capacity or less.
+fn restart() -> impl Strategy<Value = Restart> {
+    let clock_start_ms = prop_oneof![Just(0), 0_u64..20_000];
+    let capacity_percent = prop_oneof![Just(100), 40_u64..100];
+    (0_u64..3_300, clock_start_ms, capacity_percent).prop_map(
+        |(after_ms, clock_start_ms, capacity_percent)| Restart {
+            after_ms,
+            clock_start_ms,
+            capacity_percent,
+        },
+    )
+}
+
 /// An operation on a deployment with relays.
 fn relay_op(shape: Shape) -> impl Strategy<Value = Op> {
     let data_centre = 0..shape.data_centres;
@@ -212,7 +269,11 @@
         Op::CutWorker { vm, worker } => sim.cut_worker(vm, worker),
         Op::DelayRequests(percent) => sim.delayed_request_ratio = f64::from(percent) / 100.0,
         Op::LoseReplies(percent) => sim.lost_reply_ratio = f64::from(percent) / 100.0,
+        Op::LoseStops(percent) => sim.lost_stop_ratio = f64::from(percent) / 100.0,
         Op::RebootWorker(worker) => sim.reboot_worker(worker),
+        Op::RestartWorker { worker, restart } => sim.crash_and_restart_as(worker, restart),
+        Op::ReplaceWorker { worker, ms } => sim.replace_worker_for(worker, ms),
+        Op::Begin { fault, ms } => sim.begin_fault(fault, ms),
         Op::DrainWorker(worker) => {
             // Workers 0 and 1 are never drained, so that jobs can run at the end of the case.
             if worker > 1 {
@@ -249,7 +310,10 @@
             boot_all(sim);
         }
         Op::BootAll => boot_all(sim),
-        Op::Heal => sim.heal(),
+        Op::Heal => {
+            sim.heal();
+            sim.end_faults();
+        }
         Op::Advance(ms) => sim.advance(ms),
     }
 }
@@ -265,6 +329,7 @@
 /// Ends all faults and checks that a job submitted to each VM completes.
 fn recover(sim: &mut Sim) {
     sim.heal();
+    sim.end_faults();
     for worker in 0..sim.shape().workers {
         sim.set_behaviour(worker, Behaviour::Normal);
         sim.resize_worker(worker, 100);
--- a/crates/core/tests/guarded/sim/links.rs
+++ b/crates/core/tests/guarded/sim/links.rs
@@ -156,12 +156,13 @@
         self.worker_cut.insert((vm, worker));
     }
 
-    /// Ends all partitions, request delays and losses of replies, and reconnects the VMs.
+    /// Ends all partitions, request delays and losses of replies and stops, and reconnects the VMs.
     pub fn heal(&mut self) {
         self.cut.clear();
         self.worker_cut.clear();
         self.delayed_request_ratio = 0.0;
         self.lost_reply_ratio = 0.0;
+        self.lost_stop_ratio = 0.0;
         for a in 0..self.vms.len() {
             for b in 0..a {
                 self.push(self.now + 600 * MS, SimEvent::Reconnect(a, b));
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -1,10 +1,13 @@
 //! Discrete-event simulation of dispatchers, workers and clients. Times are in microseconds.
 
 mod clients;
+mod faults;
 mod links;
 mod vms;
 mod workers;
 
+pub use faults::{Fault, Request, Restart};
+
 use crate::history::{ClientState, History, JobRecord};
 use crate::worker::{Behaviour, ModelWorker};
 use cardamomslip_core::guarded::action::{Action, Poll};
@@ -80,6 +83,10 @@
     Crash(usize, u64, TaskId),
     /// A crashed worker starts again.
     RestartWorker(usize),
+    /// A worker that was replaced by another one is back at its address.
+    ReturnWorker(usize),
+    /// A fault ends.
+    EndFault(Fault),
     /// A VM detects that the connection with this number to a peer has closed.
     LinkDown(usize, u32, Incarnation, u64),
 }
@@ -182,6 +189,8 @@
     pub delayed_request_ratio: f64,
     /// Fraction of replies from workers that are lost.
     pub lost_reply_ratio: f64,
+    /// Fraction of stops that never reach their worker.
+    pub lost_stop_ratio: f64,
     shape: Shape,
     seq: u64,
     queue: BTreeMap<(u64, u64), SimEvent>,
@@ -199,6 +208,8 @@
     cut: BTreeSet<(usize, usize)>,
     /// Pairs of a VM and a worker that can't reach each other.
     worker_cut: BTreeSet<(usize, usize)>,
+    /// Faults between VMs and workers that are in effect.
+    faults: BTreeSet<Fault>,
     /// Workers at whose address another worker answers.
     replaced_workers: BTreeSet<usize>,
     /// Heartbeats that each VM sent and received.
@@ -234,6 +245,7 @@
             workers,
             delayed_request_ratio: 0.0,
             lost_reply_ratio: 0.0,
+            lost_stop_ratio: 0.0,
             shape,
             seq: 0,
             queue: BTreeMap::new(),
@@ -245,6 +257,7 @@
             no_connections_until: 0,
             cut: BTreeSet::new(),
             worker_cut: BTreeSet::new(),
+            faults: BTreeSet::new(),
             replaced_workers: BTreeSet::new(),
             heartbeats: vec![HeartbeatCount::default(); shape.vms],
             orders: vec![0; shape.vms],
@@ -349,6 +362,8 @@
                 }
             }
             SimEvent::RestartWorker(worker) => self.restart_worker(worker),
+            SimEvent::ReturnWorker(worker) => self.return_worker(worker),
+            SimEvent::EndFault(fault) => self.end_fault(fault),
             SimEvent::Resend(id) => self.resend(id),
             SimEvent::ClientTimeout(id, submission) => self.handle_client_timeout(id, submission),
             SimEvent::Thaw(vm, boot) => self.thaw(vm, boot),
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -75,6 +75,11 @@
     /// Crashes a worker, which starts again under the same id after a while. Connections to it are
     /// closed, and its address refuses new ones.
     pub fn crash_and_restart(&mut self, worker: usize) {
+        self.crash_for(worker, WORKER_RESTART_DELAY);
+    }
+
+    /// Same as [`Sim::crash_and_restart`], with the time until the restart in microseconds.
+    pub(super) fn crash_for(&mut self, worker: usize, delay: u64) {
         if !self.workers[worker].up {
             return;
         }
@@ -90,10 +95,7 @@
             };
             self.reply(pending.vm, pending.boot, event);
         }
-        self.push(
-            self.now + WORKER_RESTART_DELAY,
-            SimEvent::RestartWorker(worker),
-        );
+        self.push(self.now + delay, SimEvent::RestartWorker(worker));
     }
 
     pub(super) fn restart_worker(&mut self, worker: usize) {
@@ -167,7 +169,7 @@
             self.reply_unanswered(vm, &action, pause);
             return;
         }
-        if self.worker_cut.contains(&(vm, worker)) {
+        if self.worker_cut.contains(&(vm, worker)) || self.loses_request(vm, worker, &action) {
             self.reply_unanswered(vm, &action, REQUEST_TIMEOUT + wait);
             return;
         }
@@ -180,7 +182,16 @@
             );
             return;
         }
-        let answered = !self.rng.random_bool(self.lost_reply_ratio);
+        // Drawn only while stops are lost, so that seeds without it give the same course.
+        if matches!(action, Action::Stop { .. })
+            && self.lost_stop_ratio > 0.0
+            && self.rng.random_bool(self.lost_stop_ratio)
+        {
+            self.reply_unanswered(vm, &action, REQUEST_TIMEOUT);
+            return;
+        }
+        let is_lost = self.rng.random_bool(self.lost_reply_ratio);
+        let answered = !is_lost && !self.loses_replies(vm, worker);
         if !answered {
             self.reply_unanswered(vm, &action, REQUEST_TIMEOUT + wait);
         }
@@ -235,7 +246,13 @@
         self.advance_worker(worker);
         if self.replaced_workers.contains(&worker) {
             self.misdirected_requests += 1;
-            if let Some(event) = other_boot_reply(&action) {
+            if let Some(event) = other_boot_reply(&action).filter(|_| answered) {
+                self.reply(vm, boot, event);
+            }
+            return;
+        }
+        if self.refuses_request(worker, &action) {
+            if let Some(event) = refusal(&action).filter(|_| answered) {
                 self.reply(vm, boot, event);
             }
             return;
@@ -413,3 +430,20 @@
         _ => return None,
     })
 }
+
+/// Returns what a VM makes of a refusal without effect; `None` for other actions.
+fn refusal(action: &Action) -> Option<Event> {
+    Some(match action {
+        Action::Poll(poll) => Event::Polled {
+            worker: poll.worker,
+            poll: poll.id,
+            reply: PollReply::Silent,
+        },
+        Action::Start(start) => Event::Started {
+            worker: start.worker,
+            run: start.run,
+            reply: StartReply::Unwell,
+        },
+        _ => return None,
+    })
+}
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -50,6 +50,10 @@
     pub started: u64,
     /// Whether it rejects runs for which it has no room.
     pub guards_capacity: bool,
+    /// Whether it refuses every stop and does nothing for it.
+    pub refuses_stops: bool,
+    /// Value at which its clock starts in each boot.
+    pub clock_start_ms: u64,
     /// Capacity before it last shrank, and the time until which that still counts.
     former_capacity: Option<(Resources, u64)>,
 }
@@ -79,6 +83,8 @@
             rejected_for_capacity: 0,
             started: 0,
             guards_capacity: true,
+            refuses_stops: false,
+            clock_start_ms: 0,
             former_capacity: None,
         }
     }
@@ -88,18 +94,22 @@
         let started = self.started;
         let behaviour = self.behaviour;
         let guards_capacity = self.guards_capacity;
+        let refuses_stops = self.refuses_stops;
+        let clock_start_ms = self.clock_start_ms;
         let former_capacity = self.former_capacity;
         *self = Self {
             behaviour,
             started,
             guards_capacity,
+            refuses_stops,
+            clock_start_ms,
             former_capacity,
             ..Self::new(now, self.capacity, self.clock_rate)
         };
     }
 
     fn clock_ms(&self, now: u64) -> u64 {
-        ((now - self.boot.min(now)) as f64 * self.clock_rate / 1e3) as u64
+        self.clock_start_ms + ((now - self.boot.min(now)) as f64 * self.clock_rate / 1e3) as u64
     }
 
     /// Ends the runs that are due, and all runs if the lease has expired.
@@ -286,6 +296,9 @@
     /// Handles the stop of a run. The run ends after `STOP_GRACE` unless it is done before.
     pub fn stop(&mut self, now: u64, run: RunId, token: FencingToken) -> StopReply {
         self.advance(now);
+        if self.refuses_stops {
+            return StopReply::Silent;
+        }
         if !self.accept_token(token) {
             return StopReply::Fenced;
         }
