--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -48,6 +48,13 @@
         tasks: u32,
         timeout_ms: u64,
     },
+    /// Submits a job whose tasks go on when its client no longer waits.
+    SubmitLong {
+        vm: usize,
+        tasks: u32,
+        work_ms: u64,
+        timeout_ms: u64,
+    },
     /// Crashes a worker, which starts again after a while.
     CrashWorker(usize),
     /// Changes the capacity of a worker.
@@ -100,6 +107,11 @@
         fault: Fault,
         ms: u64,
     },
+    /// The same at every worker.
+    BeginAtAll {
+        fault: Fault,
+        ms: u64,
+    },
     DrainWorker(usize),
     SetBehaviour {
         worker: usize,
@@ -150,6 +162,9 @@
             .prop_map(|(vm, tasks, work_ms)| Op::Submit { vm, tasks, work_ms }),
         2 => (vm.clone(), 1_u32..4, 1_000_u64..15_000)
             .prop_map(|(vm, tasks, timeout_ms)| Op::SubmitDeadly { vm, tasks, timeout_ms }),
+        2 => (vm.clone(), 1_u32..6, 1_200_u64..8_000, 300_u64..2_500).prop_map(
+            |(vm, tasks, work_ms, timeout_ms)| Op::SubmitLong { vm, tasks, work_ms, timeout_ms }
+        ),
         1 => worker.clone().prop_map(Op::CrashWorker),
         1 => (worker.clone(), 40_u64..100)
             .prop_map(|(worker, percent)| Op::ResizeWorker { worker, percent }),
@@ -170,6 +185,8 @@
         1 => (worker.clone(), 100_u64..5_000)
             .prop_map(|(worker, ms)| Op::ReplaceWorker { worker, ms }),
         2 => (fault(shape), 100_u64..6_000).prop_map(|(fault, ms)| Op::Begin { fault, ms }),
+        1 => (fault(shape), 100_u64..6_000)
+            .prop_map(|(fault, ms)| Op::BeginAtAll { fault, ms }),
         1 => worker.clone().prop_map(Op::DrainWorker),
         1 => (worker, behaviour)
             .prop_map(|(worker, behaviour)| Op::SetBehaviour { worker, behaviour }),
@@ -249,6 +266,20 @@
             };
             sim.submit_shape(vm, shape);
         }
+        Op::SubmitLong {
+            vm,
+            tasks,
+            work_ms,
+            timeout_ms,
+        } => {
+            let shape = JobShape {
+                tasks,
+                work_ms,
+                client_timeout_ms: timeout_ms,
+                ..JobShape::default()
+            };
+            sim.submit_shape(vm, shape);
+        }
         Op::CrashWorker(worker) => sim.crash_and_restart(worker),
         Op::ResizeWorker { worker, percent } => sim.resize_worker(worker, percent),
         Op::Kill { vm, power } => sim.kill(vm, power),
@@ -274,6 +305,11 @@
         Op::RestartWorker { worker, restart } => sim.crash_and_restart_as(worker, restart),
         Op::ReplaceWorker { worker, ms } => sim.replace_worker_for(worker, ms),
         Op::Begin { fault, ms } => sim.begin_fault(fault, ms),
+        Op::BeginAtAll { fault, ms } => {
+            for worker in 0..sim.shape().workers {
+                sim.begin_fault(fault.at(worker), ms);
+            }
+        }
         Op::DrainWorker(worker) => {
             // Workers 0 and 1 are never drained, so that jobs can run at the end of the case.
             if worker > 1 {
--- a/crates/core/tests/guarded/sim/faults.rs
+++ b/crates/core/tests/guarded/sim/faults.rs
@@ -36,6 +36,21 @@
     LostReplies { vm: Option<usize>, worker: usize },
 }
 
+impl Fault {
+    /// Returns the same fault at another worker.
+    pub const fn at(self, worker: usize) -> Self {
+        match self {
+            Self::Refusal { request, .. } => Self::Refusal { worker, request },
+            Self::Loss { vm, request, .. } => Self::Loss {
+                vm,
+                worker,
+                request,
+            },
+            Self::LostReplies { vm, .. } => Self::LostReplies { vm, worker },
+        }
+    }
+}
+
 /// How a crashed worker starts again, under the same id.
 #[derive(Clone, Copy, Debug)]
 pub struct Restart {
