--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -52,6 +52,8 @@
     pub guards_capacity: bool,
     /// Whether it refuses every stop and does nothing for it.
     pub refuses_stops: bool,
+    /// Value at which its clock starts in each boot.
+    pub clock_start_ms: u64,
     /// Capacity before it last shrank, and the time until which that still counts.
     former_capacity: Option<(Resources, u64)>,
 }
@@ -82,6 +84,7 @@
             started: 0,
             guards_capacity: true,
             refuses_stops: false,
+            clock_start_ms: 0,
             former_capacity: None,
         }
     }
@@ -92,19 +95,21 @@
         let behaviour = self.behaviour;
         let guards_capacity = self.guards_capacity;
         let refuses_stops = self.refuses_stops;
+        let clock_start_ms = self.clock_start_ms;
         let former_capacity = self.former_capacity;
         *self = Self {
             behaviour,
             started,
             guards_capacity,
             refuses_stops,
+            clock_start_ms,
             former_capacity,
             ..Self::new(now, self.capacity, self.clock_rate)
         };
     }
 
     fn clock_ms(&self, now: u64) -> u64 {
-        ((now - self.boot.min(now)) as f64 * self.clock_rate / 1e3) as u64
+        self.clock_start_ms + ((now - self.boot.min(now)) as f64 * self.clock_rate / 1e3) as u64
     }
 
     /// Ends the runs that are due, and all runs if the lease has expired.
