Each way in which a run may outlive its job has its bound in the policy

Policy::orphan_duration gives the time from a loss (client, client without a sign, entry, runner, entry and then runner) to the end of the run, by what becomes of its stop (carried out, refused, unanswered, lost, late). It assumes that a lease is not renewed from the request of a stop on.

--- a/crates/core/src/guarded/mod.rs
+++ b/crates/core/src/guarded/mod.rs
@@ -13,7 +13,8 @@
 //!
 //! * Two runs of a task never overlap: a task is started again only when the end of its earlier run
 //!   is known, or when the lease that could keep that run alive has certainly expired.
-//! * A run outlives the entry or the runner of its job by at most [`Policy::max_orphan_duration`].
+//! * A run outlives the client, the entry or the runner of its job by at most
+//!   [`Policy::max_orphan_duration`], also if its stop has no effect.
 //! * A job is answered as completed only if each of its tasks succeeded.
 //! * A job is refused only if none of its tasks was started.
 //! * None of these guarantees depends on the store, on membership or on the time of day.
--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -63,12 +63,89 @@
 /// Largest factor by which a worker's steady clock may run slower than this VM's.
 pub const CLOCK_SLACK: f64 = 1.02;
 
+/// Time past the client's timeout at which the runner ends a job whose entry did not withdraw it.
+pub const CLIENT_TIMEOUT_SLACK: Duration = Duration::from_millis(100);
+
+/// What is lost while a run of a job is in progress, so that the job may start again at a VM that knows
+/// nothing of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// The client closes its connection.
+    Client,
+    /// The client's timeout passes and nothing tells the runner.
+    ClientSilently,
+    /// The entry of the job.
+    Entry,
+    /// The runner of the job.
+    Runner,
+    /// The entry, then the runner just before it would have stopped the run.
+    EntryThenRunner,
+}
+
+impl Lost {
+    /// All losses.
+    pub const ALL: [Self; 5] = [
+        Self::Client,
+        Self::ClientSilently,
+        Self::Entry,
+        Self::Runner,
+        Self::EntryThenRunner,
+    ];
+}
+
+/// What becomes of the stop of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopFate {
+    /// It is carried out.
+    CarriedOut,
+    /// The worker refuses it, each time.
+    Refused,
+    /// It reaches the worker, which neither answers nor stops the run.
+    Unanswered,
+    /// It is lost on its way, on one connection after the other.
+    Lost,
+    /// It is carried out when the run has long ended.
+    Late,
+}
+
+impl StopFate {
+    /// All fates.
+    pub const ALL: [Self; 5] = [
+        Self::CarriedOut,
+        Self::Refused,
+        Self::Unanswered,
+        Self::Lost,
+        Self::Late,
+    ];
+}
+
 impl Policy {
-    /// Returns the maximum time that a run outlives its job if the entry is lost and the runner is
-    /// lost just before it would have stopped the run.
+    /// Returns the maximum time from a loss to the end of the run. A lease is last renewed before the
+    /// stop is requested and not again until the stop is acknowledged, so without effect of the stop
+    /// the run ends with that lease.
+    #[must_use]
+    pub fn orphan_duration(&self, lost: Lost, stop: StopFate) -> Duration {
+        let detection = match lost {
+            Lost::Client | Lost::Runner => Duration::ZERO,
+            Lost::ClientSilently => CLIENT_TIMEOUT_SLACK + PEER_CHECK_INTERVAL,
+            Lost::Entry | Lost::EntryThenRunner => self.peer_timeout + PEER_CHECK_INTERVAL,
+        };
+        let is_stopped = match lost {
+            Lost::Client | Lost::ClientSilently | Lost::Entry => stop == StopFate::CarriedOut,
+            Lost::Runner | Lost::EntryThenRunner => false,
+        };
+        let lease = if is_stopped {
+            Duration::ZERO
+        } else {
+            self.lease.mul_f64(CLOCK_SLACK)
+        };
+        detection + lease + self.stop_grace
+    }
+
+    /// Returns the maximum time from any loss to the end of the run, whatever becomes of its stop.
     #[must_use]
     pub fn max_orphan_duration(&self) -> Duration {
-        let detection = self.peer_timeout + PEER_CHECK_INTERVAL;
-        detection + self.lease.mul_f64(CLOCK_SLACK) + self.stop_grace
+        let ways = Lost::ALL.map(|lost| StopFate::ALL.map(|stop| self.orphan_duration(lost, stop)));
+        ways.into_iter().flatten().max().unwrap_or_default()
     }
 }
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -6,7 +6,7 @@
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
 use crate::guarded::model::ids::{ClientJobId, QueueId, RunId, WorkerId};
-use crate::guarded::policy::PEER_CHECK_INTERVAL;
+use crate::guarded::policy::{CLIENT_TIMEOUT_SLACK, PEER_CHECK_INTERVAL};
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
 use crate::guarded::tables::worker::{Run, RunState};
 use crate::guarded::world::{Cx, World};
@@ -20,8 +20,6 @@
 const HANG_FACTOR: f64 = 4.0;
 /// Constant allowance on top of the factor.
 const HANG_SLACK: Duration = Duration::from_millis(250);
-/// Time past the client's timeout at which the runner ends a job whose entry did not withdraw it.
-const CLIENT_TIMEOUT_SLACK: Duration = Duration::from_millis(100);
 
 /// Load of the workers of a contained queue, during a check of its jobs.
 #[derive(Clone, Copy, Debug)]
