The estimate of a worker's clock is never ahead of it

A start that is sent while a poll waits, up to 250 ms after the last reading of the worker's clock, asked for a lease of up to 5 ms more than the policy says at a worker whose clock is 2% slow: the estimate counted the time since the reading at this VM's speed.

--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -253,10 +253,12 @@
         self.withheld_since = None;
     }
 
-    /// Returns an estimate of the worker's clock at `now`, in milliseconds.
+    /// Returns an estimate of the worker's clock at `now`, in milliseconds. It is not ahead of the
+    /// clock, even if that is slow, so that no lease lasts longer than intended.
     pub fn clock_at(&self, now: Time) -> Option<u64> {
         let sample = self.clock?;
-        let passed = u64::try_from(now.since(sample.at).as_millis()).unwrap_or(u64::MAX);
+        let passed = now.since(sample.at).div_f64(CLOCK_SLACK);
+        let passed = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
         Some(sample.clock_ms.saturating_add(passed))
     }
 
--- a/crates/core/tests/guarded/stops.rs
+++ b/crates/core/tests/guarded/stops.rs
@@ -108,6 +108,24 @@
 }
 
 simulation_tests! {
+    /// Guards against leases longer than the bounds assume: the clock of a slow worker was estimated
+    /// ahead of its time.
+    no_lease_is_longer_than_the_policy_says(TWO_DATA_CENTRES) => |sim| {
+        let lease = Policy::default().lease.as_millis();
+        for ms in 0..6_000 {
+            if ms % 260 == 0 {
+                // One on each worker.
+                sim.submit_sized(0, 3, 20, 16_000);
+                sim.submit_sized(1, 3, 20, 16_000);
+            }
+            sim.advance(1);
+            for worker in &sim.workers {
+                let left = worker.lease_left_ms(sim.now);
+                assert!(u128::from(left) <= lease, "{left} ms are left of a lease");
+            }
+        }
+    };
+
     /// Guards against a run that goes on under a renewed lease after its client's timeout: the client
     /// sends the job again at a VM that knows nothing of it.
     no_second_run_after_the_timeout_when_stops_are_refused(TWO_DATA_CENTRES) => |sim| {
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -152,6 +152,11 @@
         Some(first.min(expiry).max(now + 1))
     }
 
+    /// Returns the time until the lease expires, in milliseconds of the worker's clock.
+    pub fn lease_left_ms(&self, now: u64) -> u64 {
+        self.lease_end_ms.saturating_sub(self.clock_ms(now))
+    }
+
     /// Raises the highest fencing token seen.
     pub fn raise_token(&mut self, token: FencingToken) {
         self.token = self.token.max(token);
