--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -31,6 +31,10 @@
 const CLIENT_DISCONNECTED: Message = Message::new("client disconnected", &["the client left"]);
 const RUNS_STARTED: Message = Message::new("runs started", &[]);
 const START_UNANSWERED: Message = Message::new("start not answered", &[]);
+const START_AWAITED: Message = Message::new(
+    "a task waits: a start of it was not answered and may still be carried out",
+    &[],
+);
 const STOP_UNANSWERED: Message = Message::new("stop not answered", &[]);
 const RUN_TOO_LONG: Message = Message::new(
     "stopping a run that takes much longer than predicted",
@@ -91,7 +95,7 @@
 ];
 
 /// Messages whose occurrences are counted as findings.
-const COUNTED_MESSAGES: [(Message, &str); 15] = [
+const COUNTED_MESSAGES: [(Message, &str); 16] = [
     (WORKER_LOST, "workers lost with runs of it"),
     (
         TASK_SUSPECTED,
@@ -110,6 +114,10 @@
         START_UNANSWERED,
         "start requests without an answer from the worker",
     ),
+    (
+        START_AWAITED,
+        "starts in flight that a task of it waited for",
+    ),
     (
         STOP_UNANSWERED,
         "stop requests without an answer from the worker",
@@ -221,6 +229,8 @@
     Contained,
     /// Tasks of the job or of its queue crash workers, and no more workers were risked for it.
     Suspected,
+    /// A start of the job was not answered, and may still be carried out.
+    StartInFlight,
     /// The VM that ran the job was lost.
     RunnerLost,
     /// The process of the VM that the client called stalled.
@@ -249,6 +259,7 @@
             ("Refused { cause: Stopping", Self::Stopping),
             ("Refused { cause: Contained", Self::Contained),
             ("Lost(Suspected", Self::Suspected),
+            ("Lost(StartInFlight", Self::StartInFlight),
             ("Lost(RunnerLost", Self::RunnerLost),
             ("Lost(Paused", Self::Paused),
             ("Lost(Stopping", Self::ShutDown),
@@ -274,6 +285,9 @@
             Self::Suspected => {
                 "ended: a task of it, or of its queue, crashes workers, and no more were risked for it"
             }
+            Self::StartInFlight => {
+                "ended: a start of it was not answered and could not be ruled out in time"
+            }
             Self::RunnerLost => "the VM that ran the job was lost; the client resubmits it",
             Self::Paused => "the process of the VM that the client called stalled",
             Self::ShutDown => "the VM shut down before the job ended",
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -116,6 +116,7 @@
         systems::containment::run(world, cx);
         systems::dispatch::run(world, cx);
         systems::suspect_reports::send(world, cx);
+        systems::starts_in_flight::send(world, cx);
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
@@ -167,6 +168,7 @@
             oldest_remote_load: remote_ages.min().map_or(Duration::ZERO, |known_at| {
                 world.last_active_at.unwrap_or_default().since(known_at)
             }),
+            starts_in_flight: world.starts_in_flight.open_count() as u64,
             suspects: world.suspects.open_count() as u64,
             contained_queues: world
                 .bulkheads
@@ -260,6 +262,7 @@
         }
         Message::Queues(table) => systems::configuration::adopt(world, cx, table),
         Message::Suspects(reports) => systems::suspect_reports::handle(world, cx, &reports),
+        Message::Starts(reports) => systems::starts_in_flight::handle(world, cx.now, &reports),
     }
 }
 
--- a/crates/core/src/guarded/model/answer.rs
+++ b/crates/core/src/guarded/model/answer.rs
@@ -49,6 +49,8 @@
     Stopping,
     /// Tasks of it or of its queue crash workers, and as many workers as may be risked are down.
     Suspected,
+    /// A start of one of its tasks was not answered, and may still be carried out.
+    StartInFlight,
 }
 
 impl RefusalCause {
@@ -75,6 +77,7 @@
             Self::Paused => "paused",
             Self::Stopping => "stopping",
             Self::Suspected => "suspected",
+            Self::StartInFlight => "start_in_flight",
         }
     }
 }
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -3,7 +3,7 @@
 use super::answer::Answer;
 use super::cell::{Cell, HolderLoad};
 use super::crash::{Crash, Evidence};
-use super::ids::{ClientJobId, TaskId, WorkerId};
+use super::ids::{ClientJobId, FencingToken, TaskId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
 use crate::model::incarnation::Incarnation;
@@ -43,6 +43,34 @@
     Queues(Arc<QueueTable>),
     /// What the sender learned of tasks under which workers crashed.
     Suspects(Vec<SuspectReport>),
+    /// What the sender learned of starts that may still be carried out.
+    Starts(Vec<StartReport>),
+}
+
+/// What a VM learned of a start that a worker did not answer. The task may be submitted again at any
+/// VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartReport {
+    /// The worker may still carry it out.
+    Open {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+        /// Number of the run.
+        number: u64,
+        /// Fencing token of the start.
+        token: FencingToken,
+        /// Time since the start was sent.
+        age: Duration,
+    },
+    /// The present boot of the worker does not carry it out.
+    RuledOut {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+    },
 }
 
 /// What a VM learned of a task under which a worker crashed. The task may start at any VM next.
--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -28,6 +28,8 @@
     pub missing_grace: Duration,
     /// Time after which a client submits a job again whose answer was lost.
     pub client_resend: Duration,
+    /// Time after which a request to a worker that was not answered is no longer carried out.
+    pub max_request_delay: Duration,
     /// Time from the stop request until the process must exit.
     pub stop_timeout: Duration,
     /// Time after the start or a stall in which no cell is claimed, so that the holders of cells
@@ -50,6 +52,7 @@
             worker_stale_after: Duration::from_millis(250),
             missing_grace: Duration::from_secs(3),
             client_resend: Duration::from_millis(1_300),
+            max_request_delay: Duration::from_secs(15),
             stop_timeout: Duration::from_millis(5_500),
             claim_delay: Duration::from_millis(600),
             claim_delay_peers_known: Duration::from_millis(200),
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -25,6 +25,12 @@
     pub starts_refused: u64,
     /// Polls, starts and stops that went unanswered.
     pub unanswered_requests: u64,
+    /// Start requests that went unanswered.
+    pub starts_unanswered: u64,
+    /// Tasks whose start may still be carried out by a worker that did not answer it.
+    pub starts_in_flight: u64,
+    /// Times that a due task waited for a start in flight.
+    pub jobs_held_by_start: u64,
     /// Stop requests sent.
     pub stops: u64,
     /// Polls sent to workers.
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -101,6 +101,7 @@
         .due_tasks()
         .map(|task| task.id)
         .filter(|task| !world.present_runs.contains_key(task))
+        .filter(|&task| !world.starts_in_flight.is_open(task))
         .collect();
     let waiting = due.len();
     let mut starts = Vec::new();
@@ -308,6 +309,7 @@
             requested_at: cx.now,
             estimate,
             predicted,
+            token,
             start_requests: 1,
             is_confirmed: false,
         },
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -21,6 +21,7 @@
 pub mod run_list;
 pub mod runner;
 pub mod starts;
+pub mod starts_in_flight;
 pub mod stops;
 pub mod suspect_reports;
 pub mod sweep;
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -1,6 +1,6 @@
 //! Polls of workers, which renew leases and report ended and current runs.
 
-use super::{crashes, holds, suspect_reports};
+use super::{crashes, holds, starts_in_flight, suspect_reports};
 use crate::guarded::action::{Action, Poll};
 use crate::guarded::model::ids::{FencingToken, RunId, TaskId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
@@ -42,6 +42,8 @@
 /// Interval between probes of an unreachable worker. After a partition of data centres there may be
 /// hundreds of them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between probes of an unreachable worker that may carry out a start of this VM.
+const FENCING_PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay before an unreachable worker that answers again is acquired. After a network partition
 /// heals, heartbeats of the VMs that use the worker arrive within this time.
 const REACHABLE_ACQUIRE_DELAY: Duration = Duration::from_millis(800);
@@ -84,12 +86,14 @@
 fn send_poll(world: &mut World, cx: &mut Cx<'_>, id: WorkerId) {
     let number = world.next_poll_number();
     let policy = world.policy;
+    let fences = starts_in_flight::must_fence(world, id);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
     row.poll = Some(PendingPoll {
         number,
         sent_at: cx.now,
+        fences: fences && row.hold == Hold::Unreachable,
     });
     let is_responsive = cx.now.since(row.last_answer_at) < policy.worker_stale_after;
     let (lease_end_ms, wait) = match row.hold {
@@ -100,7 +104,9 @@
         _ => (None, Duration::ZERO),
     };
     // A worker refuses token 0 once it has seen any token, so a probe has no effect on it.
-    let (token, last_seen) = if row.hold == Hold::Unreachable {
+    // A worker that may carry out a start of this VM is fenced by the token chosen at its loss: a VM that
+    // has acquired it since has a higher one.
+    let (token, last_seen) = if row.hold == Hold::Unreachable && !fences {
         (FencingToken(0), 0)
     } else {
         (row.token, row.last_seen)
@@ -125,13 +131,27 @@
         return;
     };
     row.poll = None;
-    let is_probe = row.hold == Hold::Unreachable;
+    let is_unreachable = row.hold == Hold::Unreachable;
+    let is_probe = is_unreachable && !pending.fences;
     match reply {
         // The worker has seen no token, so no VM uses it.
         PollReply::Listed(_) if is_probe => row.hold = Hold::None,
         PollReply::Fenced if is_probe => handle_reachable(row, cx.now),
-        PollReply::Listed(status) => handle_status(world, cx, id, pending.sent_at, status),
-        PollReply::Fenced => handle_fenced(world, cx.now, id),
+        PollReply::Listed(status) => {
+            if is_unreachable {
+                row.hold = Hold::Acquiring;
+            }
+            handle_status(world, cx, id, pending.sent_at, status);
+        }
+        PollReply::Fenced => {
+            let token = row.token;
+            if is_unreachable {
+                handle_reachable(row, cx.now);
+            } else {
+                handle_fenced(world, cx.now, id);
+            }
+            starts_in_flight::rule_out_fenced(world, cx.now, id, token);
+        }
         PollReply::OtherBoot => handle_replaced(world, cx, id),
         PollReply::Ended => handle_ended(world, cx, id),
         PollReply::Silent => handle_unanswered(world, cx.now, id),
@@ -143,10 +163,12 @@
 /// of the worker; it counts as present until its lease would have expired.
 fn handle_ended(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
     if world.workers.get(&id).is_some_and(|row| row.loss.is_some()) {
+        starts_in_flight::handle_loss(world, cx.now, id);
         handle_unanswered(world, cx.now, id);
         return;
     }
     crashes::record_loss(world, cx, id, WorkerEnd::Ended, |_| false);
+    starts_in_flight::handle_loss(world, cx.now, id);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
@@ -174,10 +196,15 @@
 /// unanswered polls the worker is only probed.
 fn handle_unanswered(world: &mut World, now: Time, id: WorkerId) {
     world.stats.unanswered_requests += 1;
+    let interval = if starts_in_flight::must_fence(world, id) {
+        FENCING_PROBE_INTERVAL
+    } else {
+        PROBE_INTERVAL
+    };
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
-    row.next_probe_at = now + PROBE_INTERVAL;
+    row.next_probe_at = now + interval;
     if row.hold != Hold::Acquiring {
         return;
     }
@@ -239,6 +266,7 @@
         "another worker answers at the address of this one; its runs have ended"
     );
     crashes::record_loss(world, cx, id, WorkerEnd::Replaced, |_| false);
+    starts_in_flight::rule_out_all(world, now, id);
     world.end_all_runs(id, RunEnd::Broken);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
@@ -260,6 +288,7 @@
         running.any(|row| row.run == run.id) || ended.any(|row| row.run == run.id)
     };
     crashes::record_loss(world, cx, id, WorkerEnd::Replaced, is_alive);
+    starts_in_flight::handle_loss(world, cx.now, id);
     if let Some(loss) = world.workers.get_mut(&id).and_then(|row| row.loss.as_mut()) {
         loss.end = WorkerEnd::Replaced;
     }
@@ -298,9 +327,10 @@
     row.last_answer_at = cx.now;
     row.unanswered_polls = 0;
     row.record_clock(cx.now, status.clock_ms);
-    apply_ended_runs(world, id, &status);
+    starts_in_flight::rule_out_answered(world, cx.now, id, &status.running);
+    apply_ended_runs(world, cx.now, id, &status);
     apply_running_runs(world, cx, id, &status);
-    end_unlisted_runs(world, id, sent_at, &status);
+    end_unlisted_runs(world, cx.now, id, sent_at, &status);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
@@ -317,8 +347,9 @@
 }
 
 /// Ends the runs that the worker reports as ended. The next poll acknowledges them.
-fn apply_ended_runs(world: &mut World, id: WorkerId, status: &WorkerStatus) {
+fn apply_ended_runs(world: &mut World, now: Time, id: WorkerId, status: &WorkerStatus) {
     for ended in &status.ended {
+        starts_in_flight::rule_out_run(world, now, id, ended.run);
         let Some(row) = world.workers.get_mut(&id) else {
             return;
         };
@@ -377,6 +408,7 @@
         requested_at: now,
         estimate: Duration::ZERO,
         predicted: Duration::ZERO,
+        token: FencingToken(0),
         start_requests: 0,
         is_confirmed: true,
         queue: None,
@@ -392,7 +424,13 @@
 /// their stop was acknowledged before the poll was sent. While a worker is being acquired, no run
 /// has the new token and the worker refuses requests with earlier ones, so every run that is not
 /// listed has ended.
-fn end_unlisted_runs(world: &mut World, id: WorkerId, sent_at: Time, status: &WorkerStatus) {
+fn end_unlisted_runs(
+    world: &mut World,
+    now: Time,
+    id: WorkerId,
+    sent_at: Time,
+    status: &WorkerStatus,
+) {
     let Some(row) = world.workers.get(&id) else {
         return;
     };
@@ -409,9 +447,11 @@
                 acked_at.is_some_and(|acked_at| acked_at < sent_at)
             }
         })
-        .map(|run| run.id.task)
+        .map(|run| run.id)
         .collect();
-    for task in missing {
-        world.end_run(id, task, None);
+    for run in missing {
+        // Its start was carried out, or its stop was.
+        starts_in_flight::rule_out_run(world, now, id, run);
+        world.end_run(id, run.task, None);
     }
 }
--- a/crates/core/src/guarded/systems/quarantine.rs
+++ b/crates/core/src/guarded/systems/quarantine.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Ends the reservations for tasks that neither wait nor run.
+/// Ends the reservations for tasks that neither wait for a worker nor run.
 fn release_unneeded(world: &mut World) {
     let reserved = world
         .workers
@@ -119,6 +119,9 @@
 }
 
 fn is_waiting(world: &World, task: TaskId) -> bool {
+    if world.starts_in_flight.is_open(task) {
+        return false;
+    }
     let job = world.jobs.get(&task.job);
     let mut tasks = job.into_iter().flat_map(RunnerJob::due_tasks);
     tasks.any(|row| row.id == task)
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,6 +1,6 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
-use super::{cell_assignment, containment, quarantine, stops, suspect_reports};
+use super::{cell_assignment, containment, quarantine, starts_in_flight, stops, suspect_reports};
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
@@ -62,6 +62,17 @@
         return;
     }
     let row = RunnerJob::new(cx.now, job, origin, age, &world.estimator);
+    if starts_in_flight::is_hopeless(world, cx.now, &row) {
+        tracing::info!(job = %id, "a start of the job may still be carried out, too late for its client");
+        answer_origin(
+            world,
+            cx,
+            origin,
+            id,
+            Answer::Lost(LossCause::StartInFlight),
+        );
+        return;
+    }
     world.jobs.insert(id, row);
 }
 
@@ -199,6 +210,7 @@
             stop_task(world, cx, worker, task.id);
         }
     }
+    starts_in_flight::handle_job_end(world, cx.now, &row);
     Some(row)
 }
 
@@ -224,6 +236,7 @@
     if row.origins.is_empty() {
         tracing::info!(job = %id, "no client waits for the job any more; stopping its runs");
         remove_job(world, cx, id);
+        starts_in_flight::add_origin(world, origin);
     }
 }
 
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -1,6 +1,6 @@
 //! Handling of replies to starts.
 
-use super::{polls, stops};
+use super::{polls, starts_in_flight, stops};
 use crate::guarded::action::{Action, Start};
 use crate::guarded::model::ids::{RunId, WorkerId};
 use crate::guarded::model::reply::StartReply;
@@ -32,6 +32,15 @@
     let Some(run) = row.runs.get_mut(&id.task).filter(|run| run.id == id) else {
         return;
     };
+    if reply != StartReply::Silent && run.start_requests == 1 {
+        starts_in_flight::forget_pending(world, cx.now, worker, id);
+    }
+    let Some(row) = world.workers.get_mut(&worker) else {
+        return;
+    };
+    let Some(run) = row.runs.get_mut(&id.task) else {
+        return;
+    };
     match reply {
         StartReply::Started { clock_ms } => {
             run.is_confirmed = true;
@@ -43,9 +52,15 @@
         }
         StartReply::Silent => {
             world.stats.unanswered_requests += 1;
+            world.stats.starts_unanswered += 1;
+            starts_in_flight::record_unanswered(world, cx.now, worker, id);
             handle_unanswered(world, cx, worker, id);
         }
-        StartReply::Fenced => polls::handle_fenced(world, cx.now, worker),
+        StartReply::Fenced => {
+            let token = run.token;
+            polls::handle_fenced(world, cx.now, worker);
+            starts_in_flight::rule_out_fenced(world, cx.now, worker, token);
+        }
         StartReply::OtherBoot => polls::handle_replaced(world, cx, worker),
         StartReply::NoRoom
         | StartReply::Late
--- /dev/null
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -0,0 +1,473 @@
+//! Starts that a worker did not answer and may carry out seconds later, also on its next boot.
+//!
+//! While such a start is not ruled out its task starts nowhere. The present boot of the worker rules it
+//! out once it has ended or stopped this run or a higher one, or has seen a higher fencing token; so does
+//! another worker at the address. A new boot knows nothing of that, so the start counts again when the
+//! worker is lost, until [`Policy::max_request_delay`] has passed.
+//!
+//! [`Policy::max_request_delay`]: crate::guarded::policy::Policy::max_request_delay
+
+use super::runner;
+use crate::guarded::action::Action;
+use crate::guarded::model::answer::{Answer, LossCause};
+use crate::guarded::model::ids::{ClientJobId, FencingToken, RunId, TaskId, WorkerId};
+use crate::guarded::model::message::{Message, StartReport};
+use crate::guarded::model::reply::RunInProgress;
+use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
+use crate::guarded::tables::starts_in_flight::{OpenCause, StartInFlight};
+use crate::guarded::tables::worker::{Hold, Run, RunState, WorkerEnd};
+use crate::guarded::world::{Cx, World};
+use crate::model::incarnation::Incarnation;
+use crate::model::time::Time;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Time that a worker whose process has ended usually takes to restart.
+const USUAL_RESTART: Duration = Duration::from_secs(3);
+/// Maximum number of starts that a new peer is told of.
+const MAX_REPORTED: usize = 64;
+/// Maximum number of reports of a message.
+const MAX_MESSAGE_REPORTS: usize = 256;
+
+/// Records that a start was not answered.
+pub fn record_unanswered(world: &mut World, now: Time, worker: WorkerId, id: RunId) {
+    let row = world.workers.get(&worker);
+    let Some(run) = row.and_then(|row| row.runs.get(&id.task)) else {
+        return;
+    };
+    // The only request was carried out: the worker lists the run.
+    if run.is_confirmed && run.start_requests == 1 {
+        return;
+    }
+    let is_repeated = run.start_requests > 1;
+    let mut row = in_flight(world, now, worker, run, OpenCause::Unanswered);
+    if is_stopped(run) {
+        row.open = None;
+    }
+    world.starts_in_flight.record(worker, id.task, row);
+    if is_repeated {
+        report(world, now, worker, id.task);
+    }
+}
+
+fn in_flight(
+    world: &World,
+    now: Time,
+    worker: WorkerId,
+    run: &Run,
+    cause: OpenCause,
+) -> StartInFlight {
+    StartInFlight {
+        number: run.id.number,
+        token: run.token,
+        sent_at: now,
+        boot: world.workers.get(&worker).and_then(|row| row.boot),
+        open: Some(cause),
+        is_shared: false,
+    }
+}
+
+/// Returns whether the present boot of the worker has acknowledged the stop of a run.
+const fn is_stopped(run: &Run) -> bool {
+    matches!(
+        run.state,
+        RunState::Stopping {
+            acked_at: Some(_),
+            ..
+        }
+    )
+}
+
+/// Records a start that has not been answered yet, if the run has one.
+fn record_pending(world: &mut World, now: Time, worker: WorkerId, task: TaskId) {
+    let row = world.workers.get(&worker);
+    let Some(run) = row.and_then(|row| row.runs.get(&task)) else {
+        return;
+    };
+    if run.start_requests > 0 && !run.is_confirmed && !is_stopped(run) {
+        let row = in_flight(world, now, worker, run, OpenCause::Pending);
+        world.starts_in_flight.record(worker, task, row);
+    }
+}
+
+/// Forgets a start that was recorded before its answer was due: the answer has arrived.
+pub fn forget_pending(world: &mut World, now: Time, worker: WorkerId, id: RunId) {
+    let row = world.starts_in_flight.get(worker, id.task);
+    if row.is_some_and(|row| row.open == Some(OpenCause::Pending) && row.number == id.number) {
+        rule_out(world, now, worker, id.task, "answered");
+        world.starts_in_flight.remove(worker, id.task);
+    }
+}
+
+/// Handles the loss of a worker or of its boot: what that boot ruled out, the next one may carry out.
+pub fn handle_loss(world: &mut World, now: Time, worker: WorkerId) {
+    let runs = world.workers.get(&worker).map(|row| row.runs.keys());
+    let runs: Vec<TaskId> = runs.into_iter().flatten().copied().collect();
+    for task in runs {
+        record_pending(world, now, worker, task);
+    }
+    let rows = world.starts_in_flight.of_worker(worker);
+    let rows: Vec<TaskId> = rows.map(|(task, _)| task).collect();
+    for task in rows {
+        world.starts_in_flight.update(worker, task, |row| {
+            row.open.get_or_insert(OpenCause::WorkerLost);
+        });
+        report(world, now, worker, task);
+    }
+}
+
+/// Handles the removal of a job: its client may submit it again at any VM.
+pub fn handle_job_end(world: &mut World, now: Time, job: &RunnerJob) {
+    for task in &job.tasks {
+        if let TaskState::Active(worker) = task.state {
+            record_pending(world, now, worker, task.id);
+        }
+        for worker in world.starts_in_flight.open_workers(task.id).to_vec() {
+            report(world, now, worker, task.id);
+        }
+    }
+    for &origin in &job.origins {
+        add_origin(world, origin);
+    }
+}
+
+/// Tells a VM whose clients waited for a job of what is to be reported.
+pub fn add_origin(world: &mut World, origin: Incarnation) {
+    if !world.start_reports.is_empty() && origin != world.me {
+        world.start_report_origins.insert(origin);
+    }
+}
+
+/// Rules out the starts of a run and of earlier ones: the run has ended on the worker.
+pub fn rule_out_run(world: &mut World, now: Time, worker: WorkerId, run: RunId) {
+    let row = world.starts_in_flight.get(worker, run.task);
+    if row.is_some_and(|row| row.number <= run.number) {
+        rule_out(world, now, worker, run.task, "ended");
+    }
+}
+
+/// Rules out the starts with tokens below the one under which the worker has just answered, unless it
+/// has carried them out and they run.
+pub fn rule_out_answered(
+    world: &mut World,
+    now: Time,
+    worker: WorkerId,
+    running: &[RunInProgress],
+) {
+    let Some(token) = world.workers.get(&worker).map(|row| row.token) else {
+        return;
+    };
+    rule_out_where(world, now, worker, "fenced", |task, row| {
+        row.token < token && !running.iter().any(|running| running.run.task == task)
+    });
+}
+
+/// Rules out the starts with a token and with lower ones: the worker has seen a higher one. Its holder is
+/// told of those that may be running.
+pub fn rule_out_fenced(world: &mut World, now: Time, worker: WorkerId, token: FencingToken) {
+    let row = world.workers.get(&worker);
+    let present: Vec<TaskId> = row.map_or_else(Vec::new, |row| row.runs.keys().copied().collect());
+    rule_out_where(world, now, worker, "fenced", |task, row| {
+        row.token <= token && !present.contains(&task)
+    });
+    for task in present {
+        report(world, now, worker, task);
+    }
+}
+
+/// Rules out the starts on a worker at whose address another one answers.
+pub fn rule_out_all(world: &mut World, now: Time, worker: WorkerId) {
+    rule_out_where(world, now, worker, "replaced", |_, _| true);
+}
+
+fn rule_out_where(
+    world: &mut World,
+    now: Time,
+    worker: WorkerId,
+    how: &'static str,
+    is_ruled_out: impl Fn(TaskId, &StartInFlight) -> bool,
+) {
+    if world.starts_in_flight.is_empty() {
+        return;
+    }
+    let rows = world.starts_in_flight.of_worker(worker);
+    let rows = rows.filter(|(task, row)| row.open.is_some() && is_ruled_out(*task, row));
+    let rows: Vec<TaskId> = rows.map(|(task, _)| task).collect();
+    for task in rows {
+        rule_out(world, now, worker, task, how);
+    }
+}
+
+fn rule_out(world: &mut World, now: Time, worker: WorkerId, task: TaskId, how: &'static str) {
+    let Some(&row) = world.starts_in_flight.get(worker, task) else {
+        return;
+    };
+    if row.open.is_none() {
+        return;
+    }
+    world.starts_in_flight.update(worker, task, |row| {
+        row.open = None;
+        row.is_shared = false;
+    });
+    log_ruled_out(world, now, worker, task, &row, how);
+    if row.is_shared {
+        let report = StartReport::RuledOut { task, worker };
+        world.start_reports.push(report);
+        add_origins(world, task.job);
+    }
+}
+
+fn log_ruled_out(
+    world: &World,
+    now: Time,
+    worker: WorkerId,
+    task: TaskId,
+    row: &StartInFlight,
+    how: &'static str,
+) {
+    let held_since = world.starts_in_flight.held.get(&task);
+    if held_since.is_none() && !row.is_shared {
+        return;
+    }
+    let run = RunId {
+        task,
+        number: row.number,
+    };
+    tracing::info!(
+        job = %task.job,
+        %run,
+        %worker,
+        how,
+        age_ms = now.since(row.sent_at).as_millis(),
+        held_ms = held_since.map(|&since| now.since(since).as_millis()),
+        "a start in flight is ruled out"
+    );
+}
+
+/// Tells other VMs of an open row, unless they know of it.
+fn report(world: &mut World, now: Time, worker: WorkerId, task: TaskId) {
+    let Some(row) = world.starts_in_flight.get(worker, task) else {
+        return;
+    };
+    if row.open.is_none() || row.is_shared {
+        return;
+    }
+    let report = open_report(now, worker, task, row);
+    world
+        .starts_in_flight
+        .update(worker, task, |row| row.is_shared = true);
+    world.start_reports.push(report);
+    add_origins(world, task.job);
+}
+
+fn add_origins(world: &mut World, job: ClientJobId) {
+    let origins = world.jobs.get(&job).map(|job| job.origins.clone());
+    for origin in origins.into_iter().flatten() {
+        add_origin(world, origin);
+    }
+}
+
+fn open_report(now: Time, worker: WorkerId, task: TaskId, row: &StartInFlight) -> StartReport {
+    StartReport::Open {
+        task,
+        worker,
+        number: row.number,
+        token: row.token,
+        age: now.since(row.sent_at),
+    }
+}
+
+/// Tells the VMs that may run the jobs, and those whose clients wait for them, of starts in flight.
+pub fn send(world: &mut World, cx: &mut Cx<'_>) {
+    if world.start_reports.is_empty() {
+        return;
+    }
+    let reports = std::mem::take(&mut world.start_reports);
+    let origins = std::mem::take(&mut world.start_report_origins);
+    let peers = world.peers.iter().filter(|(peer, row)| {
+        let follows = world.topology.followers.contains(&peer.vm);
+        row.linked && (follows || row.is_relay() || origins.contains(peer))
+    });
+    let peers: Vec<Incarnation> = peers.map(|(&peer, _)| peer).collect();
+    for to in peers {
+        for reports in reports.chunks(MAX_MESSAGE_REPORTS) {
+            cx.emit(Action::Send {
+                to,
+                message: Message::Starts(reports.to_vec()),
+            });
+        }
+    }
+}
+
+/// Tells a peer that has just connected of the newest starts in flight.
+pub fn report_to(world: &World, cx: &mut Cx<'_>, to: Incarnation) {
+    let rows = world.starts_in_flight.newest_open();
+    let reports = rows.iter().take(MAX_REPORTED);
+    let reports: Vec<StartReport> = reports
+        .map(|(worker, task, row)| open_report(cx.now, *worker, *task, row))
+        .collect();
+    if !reports.is_empty() {
+        cx.emit(Action::Send {
+            to,
+            message: Message::Starts(reports),
+        });
+    }
+}
+
+/// Records what another VM learned of starts in flight.
+pub fn handle(world: &mut World, now: Time, reports: &[StartReport]) {
+    for &report in reports {
+        match report {
+            StartReport::Open {
+                task,
+                worker,
+                number,
+                token,
+                age,
+            } => {
+                let row = StartInFlight {
+                    number,
+                    token,
+                    sent_at: now.minus(age),
+                    boot: None,
+                    open: Some(OpenCause::Reported),
+                    is_shared: true,
+                };
+                if age <= world.policy.max_request_delay {
+                    record_reported(world, now, worker, task, row);
+                }
+            }
+            StartReport::RuledOut { task, worker } => {
+                world.starts_in_flight.update(worker, task, |row| {
+                    row.open = None;
+                    row.is_shared = false;
+                });
+            }
+        }
+    }
+}
+
+fn record_reported(
+    world: &mut World,
+    now: Time,
+    worker: WorkerId,
+    task: TaskId,
+    row: StartInFlight,
+) {
+    world.starts_in_flight.record(worker, task, row);
+    let holds = world
+        .workers
+        .get(&worker)
+        .filter(|row| row.hold == Hold::Held);
+    if holds.is_some_and(|holder| row.token < holder.token) {
+        rule_out_answered(world, now, worker, &[]);
+    }
+}
+
+/// Returns whether an unreachable worker is to be fenced as soon as it answers: this VM held it, and a
+/// start sent there may still be carried out. Not where another VM may hold it.
+pub fn must_fence(world: &World, worker: WorkerId) -> bool {
+    let Some(row) = world.workers.get(&worker) else {
+        return false;
+    };
+    let mut contested = world.contested_cells.iter();
+    row.loss.is_some()
+        && world.starts_in_flight.is_open_at(worker)
+        && !contested.any(|cell| cell.contains(&row.entry))
+}
+
+/// Removes old rows, notes which tasks wait, and ends the jobs for which the wait is too long.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    if world.starts_in_flight.is_empty() {
+        return;
+    }
+    let aged = world
+        .starts_in_flight
+        .aged(cx.now, world.policy.max_request_delay);
+    for (worker, task) in aged {
+        if let Some(row) = world.starts_in_flight.remove(worker, task)
+            && row.open.is_some()
+        {
+            log_ruled_out(world, cx.now, worker, task, &row, "too old");
+        }
+    }
+    release_tasks(world);
+    hold_tasks(world, cx.now);
+    let held = world.starts_in_flight.held.keys().map(|task| task.job);
+    let held: BTreeSet<ClientJobId> = held.collect();
+    for id in held {
+        let job = world.jobs.get(&id);
+        if job.is_some_and(|job| is_hopeless(world, cx.now, job)) {
+            runner::end_job(world, cx, id, Answer::Lost(LossCause::StartInFlight));
+        }
+    }
+}
+
+/// Forgets the tasks that no longer wait.
+fn release_tasks(world: &mut World) {
+    let mut held = std::mem::take(&mut world.starts_in_flight.held);
+    held.retain(|&task, _| is_held(world, task));
+    world.starts_in_flight.held = held;
+}
+
+/// Notes the due tasks that begin to wait.
+fn hold_tasks(world: &mut World, now: Time) {
+    let tasks = world.starts_in_flight.open_tasks();
+    let new = tasks.filter(|task| !world.starts_in_flight.held.contains_key(task));
+    let new: Vec<TaskId> = new.filter(|&task| is_held(world, task)).collect();
+    for task in new {
+        world.starts_in_flight.held.insert(task, now);
+        world.stats.jobs_held_by_start += 1;
+        for &worker in world.starts_in_flight.open_workers(task) {
+            let Some(row) = world.starts_in_flight.get(worker, task) else {
+                continue;
+            };
+            let run = RunId {
+                task,
+                number: row.number,
+            };
+            tracing::info!(
+                job = %task.job,
+                %run,
+                %worker,
+                boot = row.boot,
+                why = ?row.open,
+                age_ms = now.since(row.sent_at).as_millis(),
+                "a task waits: a start of it was not answered and may still be carried out"
+            );
+        }
+    }
+}
+
+/// Returns whether a task would start if no start of it were in flight.
+fn is_held(world: &World, task: TaskId) -> bool {
+    let job = world.jobs.get(&task.job);
+    let mut due = job.into_iter().flat_map(RunnerJob::due_tasks);
+    world.starts_in_flight.is_open(task)
+        && !world.present_runs.contains_key(&task)
+        && due.any(|row| row.id == task)
+}
+
+/// Returns whether the client of a job times out before a due task of it may start and end.
+pub fn is_hopeless(world: &World, now: Time, job: &RunnerJob) -> bool {
+    if world.starts_in_flight.open_count() == 0 {
+        return false;
+    }
+    let due = job.due_tasks().map(|task| task.id);
+    let open = due.filter(|&task| world.starts_in_flight.is_open(task));
+    let wait = open.map(|task| expected_wait(world, now, task)).max();
+    wait.is_some_and(|wait| now + wait + job.work_left(&world.estimator) > job.deadline)
+}
+
+/// Returns the time after which the starts of a task are probably ruled out.
+fn expected_wait(world: &World, now: Time, task: TaskId) -> Duration {
+    let workers = world.starts_in_flight.open_workers(task).iter();
+    let waits = workers.map(|worker| {
+        let loss = world.workers.get(worker).and_then(|row| row.loss);
+        let ended = loss.filter(|loss| loss.end == WorkerEnd::Ended);
+        ended.map_or(Duration::ZERO, |loss| {
+            USUAL_RESTART.saturating_sub(now.since(loss.at))
+        })
+    });
+    waits.max().unwrap_or_default()
+}
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -2,6 +2,7 @@
 
 use super::crashes;
 use super::polls;
+use super::starts_in_flight;
 use crate::guarded::action::Action;
 use crate::guarded::model::ids::{RunId, WorkerId};
 use crate::guarded::model::reply::{RunEnd, StopReply};
@@ -111,6 +112,7 @@
             .is_some_and(|row| row.hold == Hold::Held);
         if held {
             crashes::record_loss(world, cx, id, WorkerEnd::Silent, |_| false);
+            starts_in_flight::handle_loss(world, cx.now, id);
         }
         world.end_all_runs(id, RunEnd::Lapsed);
         if held {
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -1,7 +1,7 @@
 //! Periodic checks: jobs that can't end in time, runs that hang, and workers that left the
 //! registry.
 
-use super::{cell_assignment, containment, dispatch, runner, stops};
+use super::{cell_assignment, containment, dispatch, runner, starts_in_flight, stops};
 use crate::collections::FastMap;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
@@ -47,6 +47,7 @@
 /// Runs all checks.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     world.suspects.evict(cx.now);
+    starts_in_flight::run(world, cx);
     refuse_late_jobs(world, cx);
     stop_hanging_runs(world, cx);
     remove_missing_workers(world, cx);
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -7,6 +7,7 @@
 pub mod recent;
 pub mod remote_holder;
 pub mod runner_job;
+pub mod starts_in_flight;
 pub mod suspects;
 pub mod topology;
 pub mod vm_directory;
--- /dev/null
+++ b/crates/core/src/guarded/tables/starts_in_flight.rs
@@ -0,0 +1,189 @@
+//! Starts that no worker answered: a copy of each may still be carried out.
+//!
+//! A row is *open* while nothing rules the copies out on the present boot of the worker. A row that is
+//! ruled out is kept until its age, since a new boot of the worker would carry the copies out again.
+
+use crate::collections::FastMap;
+use crate::guarded::model::ids::{ClientJobId, FencingToken, TaskId, WorkerId};
+use crate::model::time::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Maximum number of rows. Beyond it the oldest one is removed.
+const MAX_ROWS: usize = 8_192;
+/// Lowest id of a task.
+const FIRST_TASK: TaskId = TaskId {
+    job: ClientJobId(0),
+    repetition: 0,
+    step: 0,
+    index: 0,
+};
+
+/// Why a row is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenCause {
+    /// The worker did not answer the start.
+    Unanswered,
+    /// The start was not answered yet when its job was removed or its worker was lost.
+    Pending,
+    /// The boot of the worker that ruled it out was lost.
+    WorkerLost,
+    /// Another VM reported it.
+    Reported,
+}
+
+/// The unanswered starts of a task on a worker. One row stands for all of them: it has the highest run
+/// number and token, and the time of the last one.
+#[derive(Clone, Copy, Debug)]
+pub struct StartInFlight {
+    /// Number of the run.
+    pub number: u64,
+    /// Fencing token of the start.
+    pub token: FencingToken,
+    /// Time at which the last start was sent, or was known to be unanswered.
+    pub sent_at: Time,
+    /// Boot of the worker that it was meant for, if it was known.
+    pub boot: Option<u64>,
+    /// Why it is open; `None` while it is ruled out.
+    pub open: Option<OpenCause>,
+    /// Whether other VMs know that it is open.
+    pub is_shared: bool,
+}
+
+impl StartInFlight {
+    /// Merges the row of an earlier start of the same task on the same worker.
+    fn merge(&mut self, earlier: &Self) {
+        self.number = self.number.max(earlier.number);
+        self.token = self.token.max(earlier.token);
+        self.sent_at = self.sent_at.max(earlier.sent_at);
+        self.boot = self.boot.or(earlier.boot);
+        self.is_shared |= earlier.is_shared;
+        if self.open == Some(OpenCause::Pending) && earlier.open.is_some() {
+            self.open = earlier.open;
+        }
+    }
+}
+
+/// The unanswered starts, by worker and task.
+#[derive(Debug, Default)]
+pub struct StartsInFlight {
+    rows: BTreeMap<(WorkerId, TaskId), StartInFlight>,
+    /// Workers with an open row, by task.
+    open: FastMap<TaskId, Vec<WorkerId>>,
+    /// Due tasks that wait, and since when.
+    pub held: FastMap<TaskId, Time>,
+}
+
+impl StartsInFlight {
+    /// Returns whether there are no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns whether a start of the task may be carried out anywhere.
+    pub fn is_open(&self, task: TaskId) -> bool {
+        !self.open.is_empty() && self.open.contains_key(&task)
+    }
+
+    /// Returns the number of tasks with an open row.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Iterates over the tasks with an open row.
+    pub fn open_tasks(&self) -> impl Iterator<Item = TaskId> {
+        self.open.keys().copied()
+    }
+
+    /// Returns the workers that may carry out a start of the task.
+    pub fn open_workers(&self, task: TaskId) -> &[WorkerId] {
+        self.open.get(&task).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the row of a task on a worker.
+    pub fn get(&self, worker: WorkerId, task: TaskId) -> Option<&StartInFlight> {
+        self.rows.get(&(worker, task))
+    }
+
+    /// Iterates over the rows of a worker.
+    pub fn of_worker(&self, worker: WorkerId) -> impl Iterator<Item = (TaskId, &StartInFlight)> {
+        let rows = self.rows.range((worker, FIRST_TASK)..);
+        let rows = rows.take_while(move |((other, _), _)| *other == worker);
+        rows.map(|(&(_, task), row)| (task, row))
+    }
+
+    /// Returns whether a worker may carry out a start.
+    pub fn is_open_at(&self, worker: WorkerId) -> bool {
+        !self.open.is_empty() && self.of_worker(worker).any(|(_, row)| row.open.is_some())
+    }
+
+    /// Returns the open rows, newest first.
+    pub fn newest_open(&self) -> Vec<(WorkerId, TaskId, StartInFlight)> {
+        let rows = self.rows.iter().filter(|(_, row)| row.open.is_some());
+        let mut rows: Vec<_> = rows
+            .map(|(&(worker, task), &row)| (worker, task, row))
+            .collect();
+        rows.sort_unstable_by_key(|(.., row)| std::cmp::Reverse(row.sent_at));
+        rows
+    }
+
+    /// Adds a row, or merges it with the one that is there.
+    pub fn record(&mut self, worker: WorkerId, task: TaskId, mut row: StartInFlight) {
+        if let Some(earlier) = self.rows.get(&(worker, task)) {
+            row.merge(earlier);
+        } else if self.rows.len() >= MAX_ROWS {
+            self.remove_oldest();
+        }
+        self.rows.insert((worker, task), row);
+        self.index(worker, task, row.open.is_some());
+    }
+
+    /// Changes a row.
+    pub fn update(
+        &mut self,
+        worker: WorkerId,
+        task: TaskId,
+        change: impl FnOnce(&mut StartInFlight),
+    ) {
+        if let Some(row) = self.rows.get_mut(&(worker, task)) {
+            change(row);
+            let is_open = row.open.is_some();
+            self.index(worker, task, is_open);
+        }
+    }
+
+    /// Removes a row.
+    pub fn remove(&mut self, worker: WorkerId, task: TaskId) -> Option<StartInFlight> {
+        self.index(worker, task, false);
+        self.rows.remove(&(worker, task))
+    }
+
+    /// Returns the rows that no worker can carry out any more because of their age.
+    pub fn aged(&self, now: Time, max_age: Duration) -> Vec<(WorkerId, TaskId)> {
+        let rows = self.rows.iter();
+        let aged = rows.filter(|(_, row)| now.since(row.sent_at) > max_age);
+        aged.map(|(&key, _)| key).collect()
+    }
+
+    fn remove_oldest(&mut self) {
+        let oldest = self.rows.iter().min_by_key(|(_, row)| row.sent_at);
+        if let Some((&(worker, task), _)) = oldest {
+            self.remove(worker, task);
+        }
+    }
+
+    /// Notes whether a row is open.
+    fn index(&mut self, worker: WorkerId, task: TaskId, is_open: bool) {
+        if is_open {
+            let workers = self.open.entry(task).or_default();
+            if !workers.contains(&worker) {
+                workers.push(worker);
+            }
+        } else if let Some(workers) = self.open.get_mut(&task) {
+            workers.retain(|&other| other != worker);
+            if workers.is_empty() {
+                self.open.remove(&task);
+            }
+        }
+    }
+}
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -77,6 +77,8 @@
     pub estimate: Duration,
     /// Run time predicted for this worker.
     pub predicted: Duration,
+    /// Fencing token of its start requests.
+    pub token: FencingToken,
     /// Number of start requests sent; 0 for a run that another VM started.
     pub start_requests: u32,
     /// Whether the worker has told that it runs, or ran.
@@ -112,6 +114,8 @@
     pub number: u64,
     /// Time at which it was sent.
     pub sent_at: Time,
+    /// Whether it is a probe that fences the worker, to rule out a start in flight.
+    pub fences: bool,
 }
 
 /// A reading of the worker's clock.
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -4,7 +4,7 @@
 use super::model::answer::Answer;
 use super::model::cell::Cell;
 use super::model::ids::{ClientJobId, FencingToken, QueueId, RunId, TaskId, WorkerId};
-use super::model::message::SuspectReport;
+use super::model::message::{StartReport, SuspectReport};
 use super::model::queue::QueueTable;
 use super::model::reply::RunEnd;
 use super::policy::Policy;
@@ -17,6 +17,7 @@
 use super::tables::recent::RecentOutcomes;
 use super::tables::remote_holder::RemoteHolderRow;
 use super::tables::runner_job::RunnerJob;
+use super::tables::starts_in_flight::StartsInFlight;
 use super::tables::suspects::Suspects;
 use super::tables::topology::Topology;
 use super::tables::vm_directory::VmDirectory;
@@ -119,6 +120,12 @@
     /// Number of runs per task that are present or may be, on any worker.
     pub present_runs: FastMap<TaskId, u32>,
     pub recent: RecentOutcomes,
+    /// Starts that no worker answered, of this VM and of others.
+    pub starts_in_flight: StartsInFlight,
+    /// What `systems::starts_in_flight` tells other VMs.
+    pub start_reports: Vec<StartReport>,
+    /// VMs that are told of them although they hold no workers: their clients wait for the jobs.
+    pub start_report_origins: BTreeSet<Incarnation>,
     /// Tasks under which workers crashed, here or elsewhere.
     pub suspects: Suspects,
     /// Whether a worker may be reserved for a suspect.
@@ -186,6 +193,9 @@
             jobs: FastMap::default(),
             present_runs: FastMap::default(),
             recent: RecentOutcomes::default(),
+            starts_in_flight: StartsInFlight::default(),
+            start_reports: Vec::new(),
+            start_report_origins: BTreeSet::new(),
             suspects: Suspects::default(),
             has_reservations: false,
             bulkheads: FastMap::default(),
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -21,4 +21,5 @@
 mod scale;
 mod sim;
 mod stale_knowledge;
+mod starts_in_flight;
 mod worker;
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -156,7 +156,9 @@
         let record = self.history.jobs.get_mut(&id).expect("the job is recorded");
         record.answer = Some(answer);
         record.answered_at = Some(self.now);
-        if matches!(answer, Answer::Lost(_)) {
+        // The platform sends a job again after a lost answer, but not after an error.
+        let is_resent = |cause: LossCause| cause.name() != "start_in_flight";
+        if matches!(answer, Answer::Lost(cause) if is_resent(cause)) {
             self.schedule_resend(id);
         } else {
             record.client_state = ClientState::Finished(self.now);
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -8,7 +8,7 @@
 use crate::history::{ClientState, History, JobRecord};
 use crate::worker::{Behaviour, ModelWorker};
 use cardamomslip_core::guarded::action::{Action, Poll};
-use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::answer::{Answer, LossCause};
 use cardamomslip_core::guarded::model::ids::{
     ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
 };
@@ -50,7 +50,7 @@
 /// Time from the start of a deadly task to the crash of its worker.
 const CRASH_DELAY: u64 = 10 * MS;
 /// Time from the crash of a worker to its restart.
-const WORKER_RESTART_DELAY: u64 = 3_300 * MS;
+pub const WORKER_RESTART_DELAY: u64 = 3_300 * MS;
 /// CPU of a default task, in thousandths of a core.
 const TASK_CPU_MILLI: u64 = 6_800;
 
@@ -209,6 +209,10 @@
     pub configuration_unavailable: bool,
     /// Number of configurations sent between VMs.
     pub queues_sent: u64,
+    /// Number of next starts to hold back. They are not answered.
+    pub starts_to_hold: u32,
+    /// Starts that were held back: worker, VM, boot of the VM, request.
+    held_starts: Vec<(usize, usize, u32, Action)>,
     /// Number of requests to workers that are down or replaced.
     pub misdirected_requests: u64,
     rng: SmallRng,
@@ -250,6 +254,8 @@
             orders: vec![0; shape.vms],
             configuration_unavailable: false,
             queues_sent: 0,
+            starts_to_hold: 0,
+            held_starts: Vec::new(),
             misdirected_requests: 0,
             rng,
             next_call: 0,
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -171,6 +171,12 @@
             self.reply_unanswered(vm, &action, REQUEST_TIMEOUT + wait);
             return;
         }
+        if self.starts_to_hold > 0 && matches!(action, Action::Start(_)) {
+            self.starts_to_hold -= 1;
+            self.reply_unanswered(vm, &action, REQUEST_TIMEOUT);
+            self.held_starts.push((worker, vm, boot, action));
+            return;
+        }
         if self.rng.random_bool(self.delayed_request_ratio) {
             let delay = self.rng.random_range(2_000..12_000) * MS;
             self.reply_unanswered(vm, &action, REQUEST_TIMEOUT + wait);
@@ -191,6 +197,18 @@
         );
     }
 
+    /// Returns the worker that the first start held back was meant for.
+    pub fn held_start_worker(&self) -> usize {
+        self.held_starts[0].0
+    }
+
+    /// Lets the worker carry out the first start that was held back.
+    pub fn deliver_held_start(&mut self) {
+        let (worker, vm, boot, action) = self.held_starts.remove(0);
+        assert!(self.workers[worker].up, "worker {worker} is down");
+        self.handle_request(worker, vm, boot, action, false);
+    }
+
     pub(super) fn reply_unanswered(&mut self, vm: usize, action: &Action, after: u64) {
         let event = match action {
             Action::Poll(poll) => Event::Polled {
--- /dev/null
+++ b/crates/core/tests/guarded/starts_in_flight.rs
@@ -0,0 +1,127 @@
+//! Starts that a worker doesn't answer and carries out later, on the same boot or on the next one.
+
+use crate::sim::{EQUAL, JobShape, MS, Shape, Sim, WORKER_RESTART_DELAY};
+use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::ids::ClientJobId;
+
+/// Two data centres with three VMs and four workers each.
+const TWO_DATA_CENTRES: Shape = Shape {
+    vms: 6,
+    data_centres: 2,
+    workers: 8,
+    weights: EQUAL,
+};
+/// A job of one task that runs for longer than its worker takes to restart.
+const LONG: JobShape = JobShape {
+    tasks: 1,
+    work_ms: 4_000,
+    cpu_milli: 6_800,
+    priority: 0,
+    queue: 1,
+    client_timeout_ms: 9_500,
+    is_deadly: false,
+};
+
+/// Submits a job whose first starts are held back, and waits for `wait_ms`.
+fn submit_held(sim: &mut Sim, shape: JobShape, starts: u32, wait_ms: u64) -> ClientJobId {
+    sim.starts_to_hold = starts;
+    let id = sim.submit_shape(sim.holder(0), shape);
+    sim.advance(wait_ms);
+    id
+}
+
+/// Crashes the worker that the start was meant for, and lets its next boot carry it out first.
+fn carry_out_on_the_next_boot(sim: &mut Sim) {
+    let worker = sim.held_start_worker();
+    sim.crash_and_restart(worker);
+    sim.advance(WORKER_RESTART_DELAY / MS);
+    sim.deliver_held_start();
+}
+
+/// Checks that a job completes within a time.
+fn assert_completes(sim: &mut Sim, id: ClientJobId, within_ms: u64) {
+    sim.advance(within_ms);
+    let took = sim.completed_in(id);
+    let answer = sim.history.jobs[&id].answer;
+    assert!(
+        took.is_some_and(|took| took <= within_ms),
+        "{took:?} {answer:?}"
+    );
+}
+
+simulation_tests! {
+    /// Guards against two runs at a time: the copy of a confirmed start began on the next boot.
+    a_copy_of_a_confirmed_start_reaches_the_next_boot(TWO_DATA_CENTRES) => |sim| {
+        let id = submit_held(sim, LONG, 1, 400);
+        carry_out_on_the_next_boot(sim);
+        assert_completes(sim, id, 9_000);
+    };
+
+    /// Guards against two runs at a time: an unconfirmed start counted until its lease expired only.
+    an_unconfirmed_start_reaches_the_next_boot(TWO_DATA_CENTRES) => |sim| {
+        let id = submit_held(sim, LONG, 1, 60);
+        carry_out_on_the_next_boot(sim);
+        assert_completes(sim, id, 9_000);
+    };
+
+    /// Guards against two runs at a time: a VM that never had the job knew nothing of its start.
+    a_job_waits_at_another_data_centre(TWO_DATA_CENTRES) => |sim| {
+        let id = submit_held(sim, LONG, 1, 400);
+        sim.abandon(id);
+        sim.advance(100);
+        let worker = sim.held_start_worker();
+        sim.crash_and_restart(worker);
+        sim.advance(50);
+        let entry = sim.holder(1);
+        sim.submit_again(id, entry);
+        sim.advance(WORKER_RESTART_DELAY / MS - 50);
+        sim.deliver_held_start();
+        assert_completes(sim, id, 9_000);
+    };
+
+    /// Guards against two runs at a time: what the holder knew of a start was lost with it.
+    a_start_is_known_after_its_holder_is_lost(TWO_DATA_CENTRES) => |sim| {
+        let holder = sim.holder(0);
+        let id = submit_held(sim, LONG, 1, 400);
+        let worker = sim.held_start_worker();
+        sim.crash_and_restart(worker);
+        sim.advance(20);
+        sim.kill(holder, true);
+        sim.advance(WORKER_RESTART_DELAY / MS - 20);
+        sim.deliver_held_start();
+        sim.advance(3_000);
+        let answer = sim.history.jobs[&id].answer;
+        assert!(!matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
+        sim.advance(10_000);
+    };
+
+    /// Guards against tasks that wait for a start which the worker's stop has ruled out.
+    a_stop_rules_a_start_out(TWO_DATA_CENTRES) => |sim| {
+        let shape = JobShape { work_ms: 100, ..LONG };
+        let id = submit_held(sim, shape, 3, 1);
+        // Three timeouts, two polls that wait, and the work.
+        assert_completes(sim, id, 3 * 120 + 2 * 250 + 100 + 50);
+        let started: u64 = sim.workers.iter().map(|worker| worker.started).sum();
+        sim.deliver_held_start();
+        sim.advance(100);
+        assert_eq!(started, sim.workers.iter().map(|worker| worker.started).sum());
+    };
+
+    /// Guards against tasks that wait for a start which a new boot refuses for its token.
+    a_token_rules_a_start_out(TWO_DATA_CENTRES) => |sim| {
+        let shape = JobShape { work_ms: 300, ..LONG };
+        let id = submit_held(sim, shape, 1, 200);
+        let worker = sim.held_start_worker();
+        sim.reboot_worker(worker);
+        assert_completes(sim, id, 1_000);
+    };
+
+    /// Guards against tasks that wait for a start which another worker at the address refuses.
+    another_worker_rules_a_start_out(TWO_DATA_CENTRES) => |sim| {
+        let shape = JobShape { work_ms: 300, ..LONG };
+        let id = submit_held(sim, shape, 1, 200);
+        let worker = sim.held_start_worker();
+        sim.replace_worker(worker);
+        assert_completes(sim, id, 1_200);
+    };
+}
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -66,6 +66,9 @@
             counter!("cardamomslip_starts_total").absolute(stats.starts);
             counter!("cardamomslip_starts_refused_total").absolute(stats.starts_refused);
             counter!("cardamomslip_orders_silent_total").absolute(stats.unanswered_requests);
+            counter!("cardamomslip_starts_unanswered_total").absolute(stats.starts_unanswered);
+            counter!("cardamomslip_jobs_held_by_start_total").absolute(stats.jobs_held_by_start);
+            gauge!("cardamomslip_starts_in_flight").set(stats.starts_in_flight as f64);
             counter!("cardamomslip_stops_total").absolute(stats.stops);
             counter!("cardamomslip_looks_total").absolute(stats.polls);
             counter!("cardamomslip_takeovers_total").absolute(stats.acquisitions);
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -4,9 +4,12 @@
 //! in microseconds.
 
 mod heartbeat;
+mod start;
 mod suspect;
+mod task;
 
 use self::heartbeat::HeartbeatWire;
+use self::start::StartReportWire;
 use self::suspect::SuspectReportWire;
 use crate::peers::{PeerMessage, WireError};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
@@ -21,6 +24,8 @@
 
 /// Maximum number of reports on suspects of one message that are read.
 const MAX_SUSPECT_REPORTS: usize = 1_024;
+/// Maximum number of reports on starts in flight of one message that are read.
+const MAX_START_REPORTS: usize = 1_024;
 /// Maximum nesting depth of a frame.
 const MAX_DEPTH: usize = 16;
 
@@ -59,6 +64,8 @@
     Queues(u64, u64, Vec<QueueWire>),
     #[serde(rename = "c")]
     Suspects(Vec<SuspectReportWire>),
+    #[serde(rename = "s")]
+    Starts(Vec<StartReportWire>),
 }
 
 /// `id`, `settings`, `payload`, `steps`, `client_timeout`.
@@ -103,12 +110,13 @@
 ];
 
 /// Loss causes by wire code.
-const LOSS_CAUSES: [LossCause; 5] = [
+const LOSS_CAUSES: [LossCause; 6] = [
     LossCause::DeadlinePassed,
     LossCause::RunnerLost,
     LossCause::Paused,
     LossCause::Stopping,
     LossCause::Suspected,
+    LossCause::StartInFlight,
 ];
 
 fn micros(span: Duration) -> u64 {
@@ -136,6 +144,7 @@
                 table.iter().map(QueueWire::from).collect(),
             ),
             Message::Suspects(reports) => Self::Suspects(reports.iter().map(Into::into).collect()),
+            Message::Starts(reports) => Self::Starts(reports.iter().map(Into::into).collect()),
         }
     }
 }
@@ -168,6 +177,11 @@
                 let reports = reports.map(TryInto::try_into);
                 Self::Suspects(reports.collect::<Result<_, _>>()?)
             }
+            MessageWire::Starts(reports) => {
+                let reports = reports.into_iter().take(MAX_START_REPORTS);
+                let reports = reports.map(TryInto::try_into);
+                Self::Starts(reports.collect::<Result<_, _>>()?)
+            }
         })
     }
 }
--- a/src/guarded/wire/suspect.rs
+++ b/src/guarded/wire/suspect.rs
@@ -1,8 +1,9 @@
 //! Wire format of reports on tasks under which workers crashed.
 
+use super::task::TaskWire;
 use crate::peers::WireError;
 use cardamomslip_core::guarded::model::crash::Evidence;
-use cardamomslip_core::guarded::model::ids::{ClientJobId, TaskId, WorkerId};
+use cardamomslip_core::guarded::model::ids::WorkerId;
 use cardamomslip_core::guarded::model::message::SuspectReport;
 use serde::{Deserialize, Serialize};
 
@@ -11,10 +12,6 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct SuspectReportWire(TaskWire, u8, u64, Option<u64>, u8);
 
-/// `job`, `repetition`, `step`, `index`.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct TaskWire(u64, u32, u32, u32);
-
 /// Evidence by wire code.
 const EVIDENCE: [Evidence; 5] = [
     Evidence::Decisive,
@@ -24,23 +21,6 @@
     Evidence::Trial,
 ];
 
-impl From<TaskId> for TaskWire {
-    fn from(id: TaskId) -> Self {
-        Self(id.job.0, id.repetition, id.step, id.index)
-    }
-}
-
-impl From<TaskWire> for TaskId {
-    fn from(TaskWire(job, repetition, step, index): TaskWire) -> Self {
-        Self {
-            job: ClientJobId(job),
-            repetition,
-            step,
-            index,
-        }
-    }
-}
-
 impl From<&SuspectReport> for SuspectReportWire {
     fn from(report: &SuspectReport) -> Self {
         match *report {
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -4,9 +4,13 @@
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
 use cardamomslip_core::guarded::model::crash::Evidence;
-use cardamomslip_core::guarded::model::ids::{ClientJobId, QueueId, TaskId, UpstreamId, WorkerId};
+use cardamomslip_core::guarded::model::ids::{
+    ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
+};
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
-use cardamomslip_core::guarded::model::message::{Heartbeat, Message, RemoteHolder, SuspectReport};
+use cardamomslip_core::guarded::model::message::{
+    Heartbeat, Message, RemoteHolder, StartReport, SuspectReport,
+};
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
@@ -134,6 +138,26 @@
     ])
 }
 
+fn starts() -> Message {
+    let task = TaskId {
+        job: ClientJobId(7),
+        repetition: 1,
+        step: 2,
+        index: 3,
+    };
+    let worker = WorkerId(9);
+    Message::Starts(vec![
+        StartReport::Open {
+            task,
+            worker,
+            number: 2,
+            token: FencingToken(u64::MAX),
+            age: Duration::from_micros(14_999_999),
+        },
+        StartReport::RuledOut { task, worker },
+    ])
+}
+
 #[rstest]
 #[case::heartbeat(heartbeat(4, 3))]
 #[case::place(place(vec![0]))]
@@ -153,6 +177,8 @@
     retry_after: Duration::from_secs(3),
 }))]
 #[case::suspected(finished(Answer::Lost(LossCause::Suspected)))]
+#[case::starts(starts())]
+#[case::start_in_flight(finished(Answer::Lost(LossCause::StartInFlight)))]
 fn messages_survive_a_round_trip(#[case] message: Message) {
     let frame = message.encode();
     assert_eq!(Message::decode(&frame).expect("a message"), message);
