--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -22,5 +22,6 @@
 mod scale;
 mod sim;
 mod stale_knowledge;
+mod starts_in_flight;
 mod stops;
 mod worker;
