A DELETE cancels a job in progress

Cause: `parse_submission` answered each DELETE itself; the dispatcher had no event for it.

Change: `Event::Cancel`. The entry answers the waiting POSTs 200 `{"State":"cancelled"}` (the client has what it asked for; the status of a lost answer would bring the job back), tells the runner, and acknowledges with 200. The runner stops the runs and answers all its origins. A VM that doesn't know the job acknowledges with 410 as before and tells its peers in the data centre; if it is no relay, two relays pass that on to all VMs of the data centre. That is at most 6 and twice 60 small messages, once for a job. All that were told remember the cancellation for 6 s, bounded as the other outcomes, and answer a later submission of the job with it. A job that has ended keeps its outcome, 410. No call to the store. Counters: `cardamomslip_answers_total{outcome="cancelled"}`, `cardamomslip_cancels_passed_on_total`.

Not covered: a DELETE at a VM of another data centre than the entry's (clients call one data centre unless all its VMs are out of rotation), unless the runner or entry is known there; a VM that has lost its connections.

--- a/crates/core/src/guarded/action.rs
+++ b/crates/core/src/guarded/action.rs
@@ -19,6 +19,13 @@
         /// Answer to send.
         answer: Answer,
     },
+    /// Acknowledge that a client cancelled a job.
+    Acknowledge {
+        /// Number of the call, from [`Event::Cancel`](super::Event::Cancel).
+        call: CallId,
+        /// Whether this VM knew the job.
+        known: bool,
+    },
     /// Send a message to a peer.
     Send {
         /// Receiving peer.
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -64,6 +64,7 @@
         match event {
             Event::Submit { call, job } => systems::entry::submit(world, cx, call, job),
             Event::ClientGone(call) => systems::entry::handle_disconnect(world, cx, call),
+            Event::Cancel { call, job } => systems::cancels::request(world, cx, call, job),
             Event::Queues(table) => systems::configuration::adopt(world, cx, table),
             Event::Worker(entry) => add_or_update_worker(world, entry),
             Event::WorkerGone(id) => mark_worker_missing(world, now, id),
@@ -255,6 +256,9 @@
             systems::entry::handle_finished(world, cx, from, job, answer);
         }
         Message::Withdraw { job } => systems::runner::withdraw(world, cx, from, job),
+        Message::Cancel { job, pass_on } => {
+            systems::cancels::handle(world, cx, from, job, pass_on);
+        }
         Message::RequestQueues { version } => {
             systems::configuration::handle_request(world, cx, from, version);
         }
--- a/crates/core/src/guarded/event.rs
+++ b/crates/core/src/guarded/event.rs
@@ -1,6 +1,6 @@
 //! Events that the adapters report to the dispatcher.
 
-use super::model::ids::{RunId, WorkerId};
+use super::model::ids::{ClientJobId, RunId, WorkerId};
 use super::model::job::Job;
 use super::model::message::Message;
 use super::model::queue::QueueTable;
@@ -24,6 +24,13 @@
     },
     /// A client disconnected before its answer.
     ClientGone(CallId),
+    /// A client cancelled a job.
+    Cancel {
+        /// Number of the call, which the acknowledgement refers to.
+        call: CallId,
+        /// Id of the job.
+        job: ClientJobId,
+    },
     /// The configuration was read from the store.
     Queues(Arc<QueueTable>),
     /// A worker was added to the registry or changed.
--- a/crates/core/src/guarded/model/answer.rs
+++ b/crates/core/src/guarded/model/answer.rs
@@ -9,6 +9,8 @@
     Completed,
     /// A task failed as often as its queue allows.
     Failed,
+    /// A client cancelled the job; no more tasks will be started.
+    Cancelled,
     /// No task was started, and none will be.
     Refused {
         /// Reason for the refusal.
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -34,6 +34,13 @@
         /// Id of the job.
         job: ClientJobId,
     },
+    /// A client cancelled this job, wherever it is.
+    Cancel {
+        /// Id of the job.
+        job: ClientJobId,
+        /// Whether a receiver that does not know the job passes the message on.
+        pass_on: bool,
+    },
     /// Asks for a newer configuration than the sender has.
     RequestQueues {
         /// Version that the sender has; 0 for none.
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -17,6 +17,10 @@
     pub lost: u64,
     /// Jobs whose last client disconnected before the answer.
     pub abandoned: u64,
+    /// Jobs answered as cancelled.
+    pub cancelled: u64,
+    /// Cancellations by clients of jobs that this VM did not know, which were passed on to peers.
+    pub cancels_passed_on: u64,
     /// Placements of jobs with a peer.
     pub placed_remote: u64,
     /// Runs started, not counting repeated requests.
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -36,6 +36,7 @@
         return;
     }
     let id = job.id;
+    let cancelled = world.recent.get(id) == Some(Answer::Cancelled);
     let row = EntryJob {
         job,
         calls: vec![call],
@@ -44,7 +45,9 @@
         placements: 0,
     };
     world.entries.insert(id, row);
-    if ends_before_stop(world, cx, id) {
+    if cancelled {
+        answer_clients(world, cx, id, Answer::Cancelled);
+    } else if ends_before_stop(world, cx, id) {
         place(world, cx, id);
     } else {
         let answer = Answer::Refused {
@@ -153,9 +156,13 @@
     match answer {
         Answer::Completed => stats.completed += 1,
         Answer::Failed => stats.failed += 1,
+        Answer::Cancelled => stats.cancelled += 1,
         Answer::Refused { .. } => stats.refused += 1,
         Answer::Lost(_) => stats.lost += 1,
     }
+    if answer == Answer::Cancelled && world.recent.get(id).is_none() {
+        world.recent.insert(cx.now, id, answer);
+    }
     log_answer(cx.now, &row, answer);
     for call in row.calls {
         world.calls.remove(&call);
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -5,6 +5,7 @@
 //! in the queues of the world, and does not call a system that runs before it. The exceptions are
 //! [`holds::begin_acquisition`] and [`crashes::record_loss`], which [`polls`] and [`stops`] call.
 
+pub mod cancels;
 pub mod cell_assignment;
 pub mod configuration;
 pub mod containment;
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -174,7 +174,10 @@
     let Some(row) = remove_job(world, cx, id) else {
         return;
     };
-    if matches!(answer, Answer::Completed | Answer::Failed) {
+    if matches!(
+        answer,
+        Answer::Completed | Answer::Failed | Answer::Cancelled
+    ) {
         world.recent.insert(cx.now, id, answer);
     }
     tracing::info!(
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -12,6 +12,7 @@
 
 #[macro_use]
 mod cases;
+mod cancels;
 mod capacity;
 mod crashes;
 mod history;
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Cancels a job at a VM.
+    pub fn cancel(&mut self, id: ClientJobId, vm: usize) -> CallId {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.push_event(self.now + LINK_LATENCY, vm, Event::Cancel { call, job: id });
+        call
+    }
+
     /// Lets the client disconnect without submitting the job again.
     pub fn abandon(&mut self, id: ClientJobId) {
         self.close_calls(id);
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -203,6 +203,8 @@
     replaced_workers: BTreeSet<usize>,
     /// Heartbeats that each VM sent and received.
     pub heartbeats: Vec<HeartbeatCount>,
+    /// Acknowledged cancellations, and whether the VM knew the job.
+    pub cancel_acks: BTreeMap<CallId, bool>,
     /// Number of starts and stops that each VM sent.
     pub orders: Vec<u64>,
     /// Whether a VM that starts can't read the configuration from the store.
@@ -247,6 +249,7 @@
             worker_cut: BTreeSet::new(),
             replaced_workers: BTreeSet::new(),
             heartbeats: vec![HeartbeatCount::default(); shape.vms],
+            cancel_acks: BTreeMap::new(),
             orders: vec![0; shape.vms],
             configuration_unavailable: false,
             queues_sent: 0,
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -210,6 +210,9 @@
                     self.handle_answer(id, answer);
                 }
             }
+            Action::Acknowledge { call, known } => {
+                self.cancel_acks.insert(call, known);
+            }
             Action::Connect(vms) => self.set_wanted(vm, vms),
             Action::Disconnect(peer) => self.disconnect(vm, peer),
             Action::FollowWorkers(follow) => {
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns the number of runs in progress.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
     /// Restarts under the same id and loses all runs, the lease and the fencing token.
     pub fn reboot(&mut self, now: u64) {
         let started = self.started;
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -20,7 +20,7 @@
 /// Interval at which the dispatcher's statistics are copied to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A submission that has not been answered.
+/// A submission or cancellation that has not been answered.
 #[derive(Debug)]
 struct PendingCall<A> {
     responder: A,
@@ -88,18 +88,13 @@
                 Event::PeerUp(peer)
             }
             Input::Submit(responder, job) => {
-                let call = CallId(self.next_call);
-                self.next_call += 1;
-                let submitted_at = cx.now();
-                self.calls.insert(
-                    call,
-                    PendingCall {
-                        responder,
-                        submitted_at,
-                    },
-                );
+                let call = self.add_call(cx.now(), responder);
                 Event::Submit { call, job }
             }
+            Input::Cancel(responder, job) => {
+                let call = self.add_call(cx.now(), responder);
+                Event::Cancel { call, job }
+            }
         };
         self.handle(cx.now(), event);
         if !self.tick_queued {
@@ -108,6 +103,17 @@
         }
     }
 
+    fn add_call(&mut self, submitted_at: Instant, responder: P::Responder) -> CallId {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let pending = PendingCall {
+            responder,
+            submitted_at,
+        };
+        self.calls.insert(call, pending);
+        call
+    }
+
     fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Stop => self.adapter.begin_stop(),
@@ -178,6 +184,11 @@
                     pending.responder.respond(answer);
                 }
             }
+            Action::Acknowledge { call, known } => {
+                if let Some(pending) = self.calls.remove(&call) {
+                    pending.responder.acknowledge(known);
+                }
+            }
             Action::Send { to, message } => {
                 if let Some(&link) = self.links.get(&to) {
                     self.peers.send_on(to, link, message);
--- a/src/guarded/adapter.rs
+++ b/src/guarded/adapter.rs
@@ -6,13 +6,16 @@
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use std::sync::Arc;
 
-/// Sends the answer to one submitted job.
+/// Responds to a client that submitted or cancelled a job.
 pub trait JobResponder: std::fmt::Debug {
     /// Returns whether the client has disconnected, so that no answer can reach it.
     fn is_abandoned(&self) -> bool;
 
     /// Sends the answer to the client.
     fn respond(self, answer: Answer);
+
+    /// Acknowledges to a client that it cancelled a job, which this VM may not have known.
+    fn acknowledge(self, known: bool);
 }
 
 /// Sends requests to workers. Every request results in an input to the actor, even if the worker
--- a/src/guarded/input.rs
+++ b/src/guarded/input.rs
@@ -4,6 +4,7 @@
 use crate::peers::PeerSink;
 use cardamomslip_core::guarded::Event;
 use cardamomslip_core::guarded::model::answer::{Answer, RefusalCause};
+use cardamomslip_core::guarded::model::ids::ClientJobId;
 use cardamomslip_core::guarded::model::job::Job;
 use cardamomslip_core::guarded::model::message::Message;
 use cardamomslip_core::model::ids::VmId;
@@ -24,6 +25,8 @@
     PeerUp(Incarnation, u64),
     /// A client submitted a job. The answer goes to the given responder.
     Submit(A, Arc<Job>),
+    /// A client cancelled a job. The acknowledgement goes to the given responder.
+    Cancel(A, ClientJobId),
 }
 
 /// Sends inputs to the actor. Clones send to the same actor.
@@ -59,6 +62,18 @@
         }
     }
 
+    /// Cancels a job. It is unknown if the actor has ended, which ended all jobs.
+    pub fn cancel(&self, responder: A, job: ClientJobId)
+    where
+        A: JobResponder,
+    {
+        if let Err(e) = self.0.send(Input::Cancel(responder, job))
+            && let Input::Cancel(responder, _) = e.0
+        {
+            responder.acknowledge(false);
+        }
+    }
+
     /// Sends an event to the dispatcher. The event is dropped if the actor has ended.
     pub fn send_event(&self, event: Event) {
         drop(self.0.send(Input::Event(event)));
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -44,6 +44,7 @@
         let (outcome, cause) = match answer {
             Answer::Completed => ("completed", ""),
             Answer::Failed => ("failed", ""),
+            Answer::Cancelled => ("cancelled", ""),
             Answer::Refused { cause, .. } => ("refused", cause.name()),
             Answer::Lost(cause) => ("lost", cause.name()),
         };
@@ -63,6 +64,7 @@
         with_local_recorder(&*self.recorder, || {
             counter!("cardamomslip_submitted_total").absolute(stats.submitted);
             counter!("cardamomslip_abandoned_total").absolute(stats.abandoned);
+            counter!("cardamomslip_cancels_passed_on_total").absolute(stats.cancels_passed_on);
             counter!("cardamomslip_placed_remote_total").absolute(stats.placed_remote);
             counter!("cardamomslip_starts_total").absolute(stats.starts);
             counter!("cardamomslip_starts_refused_total").absolute(stats.starts_refused);
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -53,6 +53,8 @@
     Finished(u64, AnswerWire),
     #[serde(rename = "w")]
     Withdraw(u64),
+    #[serde(rename = "x")]
+    Cancel(u64, bool),
     #[serde(rename = "a")]
     RequestQueues(u64),
     #[serde(rename = "q")]
@@ -129,6 +131,7 @@
             Message::Place { job, age } => Self::Place((&**job).into(), micros(*age)),
             Message::Finished { job, answer } => Self::Finished(job.0, (*answer).into()),
             Message::Withdraw { job } => Self::Withdraw(job.0),
+            Message::Cancel { job, pass_on } => Self::Cancel(job.0, *pass_on),
             Message::RequestQueues { version } => Self::RequestQueues(*version),
             Message::Queues(table) => Self::Queues(
                 table.version,
@@ -157,6 +160,10 @@
             MessageWire::Withdraw(job) => Self::Withdraw {
                 job: ClientJobId(job),
             },
+            MessageWire::Cancel(job, pass_on) => Self::Cancel {
+                job: ClientJobId(job),
+                pass_on,
+            },
             MessageWire::RequestQueues(version) => Self::RequestQueues { version },
             MessageWire::Queues(version, max_body_bytes, queues) => {
                 let queues = queues.into_iter().map(Queue::try_from);
@@ -322,6 +329,7 @@
                 Self(2, code_of(&REFUSAL_CAUSES, &cause), micros(retry_after))
             }
             Answer::Lost(cause) => Self(3, code_of(&LOSS_CAUSES, &cause), 0),
+            Answer::Cancelled => Self(4, 0, 0),
         }
     }
 }
@@ -340,6 +348,7 @@
                 retry_after: Duration::from_micros(micros),
             },
             3 => Self::Lost(*LOSS_CAUSES.get(cause).ok_or_else(unknown)?),
+            4 => Self::Cancelled,
             _ => return Err(unknown()),
         })
     }
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -145,6 +145,8 @@
 }))]
 #[case::lost(finished(Answer::Lost(LossCause::Paused)))]
 #[case::withdraw(Message::Withdraw { job: ClientJobId(8) })]
+#[case::cancel(Message::Cancel { job: ClientJobId(8), pass_on: true })]
+#[case::cancelled(finished(Answer::Cancelled))]
 #[case::request_queues(Message::RequestQueues { version: 16 })]
 #[case::queues(queues())]
 #[case::suspects(suspects())]
