--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -13,6 +13,7 @@
 #[macro_use]
 mod cases;
 mod bounds;
+mod cancels;
 mod capacity;
 mod crashes;
 mod history;
