--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -32,6 +32,11 @@
 const RUNS_STARTED: Message = Message::new("runs started", &[]);
 const START_UNANSWERED: Message = Message::new("start not answered", &[]);
 const STOP_UNANSWERED: Message = Message::new("stop not answered", &[]);
+const STOP_WITHOUT_EFFECT: Message = Message::new("a stop has no effect", &[]);
+const LEASE_WITHHELD: Message = Message::new(
+    "letting the lease of a worker expire: a stop there has no effect",
+    &[],
+);
 const RUN_TOO_LONG: Message = Message::new(
     "stopping a run that takes much longer than predicted",
     &["stopping a run that takes far too long"],
@@ -91,7 +96,7 @@
 ];
 
 /// Messages whose occurrences are counted as findings.
-const COUNTED_MESSAGES: [(Message, &str); 15] = [
+const COUNTED_MESSAGES: [(Message, &str); 17] = [
     (WORKER_LOST, "workers lost with runs of it"),
     (
         TASK_SUSPECTED,
@@ -114,6 +119,11 @@
         STOP_UNANSWERED,
         "stop requests without an answer from the worker",
     ),
+    (STOP_WITHOUT_EFFECT, "runs of it whose stop had no effect"),
+    (
+        LEASE_WITHHELD,
+        "leases of its workers that were let go because a stop had no effect",
+    ),
     (RUN_TOO_LONG, "runs stopped because they took far too long"),
     (LEASE_EXPIRED, "leases that expired on its workers"),
     (
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -99,6 +99,9 @@
     /// A task of the job crashed two workers, so the job was given up.
     task_crashed_workers("deadly-task.log", "bc016e4db4686204")
         => Cause::TaskFailed, "it was given up, because workers crashed under a task of it";
+    /// A worker refused the stop of a run whose client had left.
+    stop_refused("stop-refused.log", "9d20c4f1a7b35e68")
+        => Cause::TimedOut, "1 leases of its workers that were let go because a stop had no effect";
 }
 
 #[test]
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -1,6 +1,6 @@
 //! Polls of workers, which renew leases and report ended and current runs.
 
-use super::{crashes, holds, suspect_reports};
+use super::{crashes, holds, stops, suspect_reports};
 use crate::guarded::action::{Action, Poll};
 use crate::guarded::model::ids::{FencingToken, RunId, TaskId, WorkerId};
 use crate::guarded::model::reply::{PollReply, RunEnd, WorkerStatus};
@@ -306,6 +306,8 @@
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
+    // Before the next poll renews the lease, so that it is known whether the lease has lapsed.
+    world.stats.expired_leases += stops::end_withholding(row, cx.now);
     if row.hold == Hold::Held && cx.now.since(row.held_since) > UNDISPUTED_AFTER {
         row.times_fenced = 0;
     }
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -114,9 +114,8 @@
         world.stats.stops_overdue += report_stops(row, now);
         // The lease of a silent worker is left to expire in any case.
         let is_renewed = row.hold == Hold::Held && now.since(row.last_answer_at) < stale_after;
-        if row.may_extend_lease() {
-            world.stats.expired_leases += report_renewal(row, now);
-        } else if is_renewed && row.withheld_since.is_none() && has_overdue_stop(row, now) {
+        world.stats.expired_leases += end_withholding(row, now);
+        if is_renewed && row.withheld_since.is_none() && has_overdue_stop(row, now) {
             row.withheld_since = Some(now);
             world.stats.leases_withheld += 1;
             tracing::warn!(
@@ -167,9 +166,12 @@
     stop.forbids_lease() && now.since(stop.requested_at) > OVERDUE_AFTER
 }
 
-/// Reports that the lease of a worker is renewed again after it was withheld. Returns the number of
-/// leases that lapsed meanwhile.
-fn report_renewal(row: &mut Worker, now: Time) -> u64 {
+/// Lets a withheld lease be renewed again if every stop there has had its effect. Returns the number
+/// of leases that lapsed meanwhile.
+pub fn end_withholding(row: &mut Worker, now: Time) -> u64 {
+    if !row.may_extend_lease() {
+        return 0;
+    }
     let Some(since) = row.withheld_since.take() else {
         return 0;
     };
