--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -36,6 +36,11 @@
     &[],
 );
 const STOP_UNANSWERED: Message = Message::new("stop not answered", &[]);
+const STOP_WITHOUT_EFFECT: Message = Message::new("a stop has no effect", &[]);
+const LEASE_WITHHELD: Message = Message::new(
+    "letting the lease of a worker expire: a stop there has no effect",
+    &[],
+);
 const RUN_TOO_LONG: Message = Message::new(
     "stopping a run that takes much longer than predicted",
     &["stopping a run that takes far too long"],
@@ -95,7 +100,7 @@
 ];
 
 /// Messages whose occurrences are counted as findings.
-const COUNTED_MESSAGES: [(Message, &str); 16] = [
+const COUNTED_MESSAGES: [(Message, &str); 18] = [
     (WORKER_LOST, "workers lost with runs of it"),
     (
         TASK_SUSPECTED,
@@ -122,6 +127,11 @@
         STOP_UNANSWERED,
         "stop requests without an answer from the worker",
     ),
+    (STOP_WITHOUT_EFFECT, "runs of it whose stop had no effect"),
+    (
+        LEASE_WITHHELD,
+        "leases of its workers that were let go because a stop had no effect",
+    ),
     (RUN_TOO_LONG, "runs stopped because they took far too long"),
     (LEASE_EXPIRED, "leases that expired on its workers"),
     (
