starts in flight: with processes, and a start that is answered after its job is gone

A start that was unanswered when its job was removed was ruled out by its answer, and other VMs were told so while its run was still to be stopped. It now counts until that run has ended, and is then forgotten: no copy of it is in flight.

--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -33,7 +33,8 @@
         return;
     };
     if reply != StartReply::Silent && run.start_requests == 1 {
-        starts_in_flight::forget_pending(world, cx.now, worker, id);
+        let began = matches!(reply, StartReply::Started { .. });
+        starts_in_flight::handle_answer(world, cx.now, worker, id, began);
     }
     let Some(row) = world.workers.get_mut(&worker) else {
         return;
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -90,12 +90,20 @@
     }
 }
 
-/// Forgets a start that was recorded before its answer was due: the answer has arrived.
-pub fn forget_pending(world: &mut World, now: Time, worker: WorkerId, id: RunId) {
+/// Handles the answer to a start that was recorded before the answer was due: nothing is in flight, but
+/// the run may have begun.
+pub fn handle_answer(world: &mut World, now: Time, worker: WorkerId, id: RunId, began: bool) {
     let row = world.starts_in_flight.get(worker, id.task);
-    if row.is_some_and(|row| row.open == Some(OpenCause::Pending) && row.number == id.number) {
-        rule_out(world, now, worker, id.task, "answered");
-        world.starts_in_flight.remove(worker, id.task);
+    let is_pending =
+        row.is_some_and(|row| row.open == Some(OpenCause::Pending) && row.number == id.number);
+    if !is_pending {
+        return;
+    }
+    world
+        .starts_in_flight
+        .update(worker, id.task, |row| row.open = Some(OpenCause::Started));
+    if !began {
+        rule_out(world, now, worker, id.task, "refused");
     }
 }
 
@@ -109,6 +117,11 @@
     let rows = world.starts_in_flight.of_worker(worker);
     let rows: Vec<TaskId> = rows.map(|(task, _)| task).collect();
     for task in rows {
+        let row = world.starts_in_flight.get(worker, task);
+        if row.is_some_and(|row| row.open == Some(OpenCause::Started)) {
+            rule_out(world, now, worker, task, "lost with its worker");
+            continue;
+        }
         world.starts_in_flight.update(worker, task, |row| {
             row.open.get_or_insert(OpenCause::WorkerLost);
         });
@@ -215,6 +228,9 @@
         world.start_reports.push(report);
         add_origins(world, task.job);
     }
+    if row.open == Some(OpenCause::Started) {
+        world.starts_in_flight.remove(worker, task);
+    }
 }
 
 fn log_ruled_out(
--- a/crates/core/src/guarded/tables/starts_in_flight.rs
+++ b/crates/core/src/guarded/tables/starts_in_flight.rs
@@ -26,6 +26,8 @@
     Unanswered,
     /// The start was not answered yet when its job was removed or its worker was lost.
     Pending,
+    /// The only start was answered after that; its run has not ended yet.
+    Started,
     /// The boot of the worker that ruled it out was lost.
     WorkerLost,
     /// Another VM reported it.
--- a/crates/core/tests/guarded/starts_in_flight.rs
+++ b/crates/core/tests/guarded/starts_in_flight.rs
@@ -2,7 +2,13 @@
 
 use crate::sim::{EQUAL, JobShape, MS, Shape, Sim, WORKER_RESTART_DELAY};
 use cardamomslip_core::guarded::model::answer::Answer;
-use cardamomslip_core::guarded::model::ids::ClientJobId;
+use cardamomslip_core::guarded::model::ids::{ClientJobId, FencingToken, TaskId, WorkerId};
+use cardamomslip_core::guarded::model::message::{Message, StartReport};
+use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy};
+use cardamomslip_core::model::ids::{DataCentreId, VmId};
+use cardamomslip_core::model::incarnation::Incarnation;
+use cardamomslip_core::model::time::Time;
+use std::time::Duration;
 
 /// Two data centres with three VMs and four workers each.
 const TWO_DATA_CENTRES: Shape = Shape {
@@ -125,3 +131,48 @@
         assert_completes(sim, id, 1_200);
     };
 }
+
+/// Maximum number of starts in flight that a VM keeps.
+const MAX_KEPT: u64 = 8_192;
+/// Time for which it keeps them, in seconds.
+const KEPT_SECONDS: u64 = 15;
+
+/// Guards against memory that grows with the starts that other VMs report, and against tasks that wait
+/// for ever.
+#[test]
+fn starts_in_flight_are_bounded_in_number_and_age() {
+    let vm = |number| Incarnation {
+        data_centre: DataCentreId(0),
+        vm: VmId(number),
+        nonce: number,
+    };
+    let (me, peer) = (vm(1), vm(2));
+    let mut dispatcher = Dispatcher::new(Identity { me, weight: 1 }, Policy::default());
+    let actions = &mut Vec::new();
+    dispatcher.handle(Time::ZERO, 0, Event::PeerUp(peer), actions);
+    let reports = (0..2 * MAX_KEPT).map(|job| StartReport::Open {
+        task: TaskId {
+            job: ClientJobId(job),
+            repetition: 0,
+            step: 0,
+            index: 0,
+        },
+        worker: WorkerId(job % 7),
+        number: 1,
+        token: FencingToken(1),
+        age: Duration::from_millis(job % 1_000),
+    });
+    let event = Event::Message {
+        from: peer,
+        message: Message::Starts(reports.collect()),
+    };
+    let mut now = Time::ZERO + Duration::from_secs(1);
+    dispatcher.handle(now, 0, event, actions);
+    assert_eq!(dispatcher.stats().starts_in_flight, MAX_KEPT);
+    let end = now + Duration::from_secs(KEPT_SECONDS);
+    while now <= end {
+        now = now + Duration::from_millis(100);
+        dispatcher.tick(now, 0, actions);
+    }
+    assert_eq!(dispatcher.stats().starts_in_flight, 0);
+}
