--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -90,6 +90,13 @@
         });
     }
 
+    /// Counts an entry of the store that can't be used, once for each revision of it.
+    pub fn record_invalid_entry(&self, kind: &'static str) {
+        with_local_recorder(&*self.recorder, || {
+            counter!("cardamomslip_invalid_entries_total", "kind" => kind).increment(1);
+        });
+    }
+
     /// Sets the total number of dropped log lines.
     pub fn record_dropped_log_lines(&self, lines: u64) {
         with_local_recorder(&*self.recorder, || {
