--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -64,6 +64,7 @@
         match event {
             Event::Submit { call, job } => systems::entry::submit(world, cx, call, job),
             Event::ClientGone(call) => systems::entry::handle_disconnect(world, cx, call),
+            Event::Cancel { call, job } => systems::cancels::request(world, cx, call, job),
             Event::Queues(table) => systems::configuration::adopt(world, cx, table),
             Event::Worker(entry) => add_or_update_worker(world, entry),
             Event::WorkerGone(id) => mark_worker_missing(world, now, id),
@@ -116,6 +117,7 @@
         systems::containment::run(world, cx);
         systems::dispatch::run(world, cx);
         systems::suspect_reports::send(world, cx);
+        systems::starts_in_flight::send(world, cx);
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
@@ -167,6 +169,7 @@
             oldest_remote_load: remote_ages.min().map_or(Duration::ZERO, |known_at| {
                 world.last_active_at.unwrap_or_default().since(known_at)
             }),
+            starts_in_flight: world.starts_in_flight.open_count() as u64,
             suspects: world.suspects.open_count() as u64,
             contained_queues: world
                 .bulkheads
@@ -255,11 +258,15 @@
             systems::entry::handle_finished(world, cx, from, job, answer);
         }
         Message::Withdraw { job } => systems::runner::withdraw(world, cx, from, job),
+        Message::Cancel { job, pass_on } => {
+            systems::cancels::handle(world, cx, from, job, pass_on);
+        }
         Message::RequestQueues { version } => {
             systems::configuration::handle_request(world, cx, from, version);
         }
         Message::Queues(table) => systems::configuration::adopt(world, cx, table),
         Message::Suspects(reports) => systems::suspect_reports::handle(world, cx, &reports),
+        Message::Starts(reports) => systems::starts_in_flight::handle(world, cx.now, &reports),
     }
 }
 
--- a/crates/core/src/guarded/model/answer.rs
+++ b/crates/core/src/guarded/model/answer.rs
@@ -9,6 +9,8 @@
     Completed,
     /// A task failed as often as its queue allows.
     Failed,
+    /// A client cancelled the job; no more tasks will be started.
+    Cancelled,
     /// No task was started, and none will be.
     Refused {
         /// Reason for the refusal.
@@ -49,6 +51,8 @@
     Stopping,
     /// Tasks of it or of its queue crash workers, and as many workers as may be risked are down.
     Suspected,
+    /// A start of one of its tasks was not answered, and may still be carried out.
+    StartInFlight,
 }
 
 impl RefusalCause {
@@ -75,6 +79,7 @@
             Self::Paused => "paused",
             Self::Stopping => "stopping",
             Self::Suspected => "suspected",
+            Self::StartInFlight => "start_in_flight",
         }
     }
 }
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -17,6 +17,10 @@
     pub lost: u64,
     /// Jobs whose last client disconnected before the answer.
     pub abandoned: u64,
+    /// Jobs answered as cancelled.
+    pub cancelled: u64,
+    /// Cancellations by clients of jobs that this VM did not know, which were passed on to peers.
+    pub cancels_passed_on: u64,
     /// Placements of jobs with a peer.
     pub placed_remote: u64,
     /// Runs started, not counting repeated requests.
@@ -25,6 +29,12 @@
     pub starts_refused: u64,
     /// Polls, starts and stops that went unanswered.
     pub unanswered_requests: u64,
+    /// Start requests that went unanswered.
+    pub starts_unanswered: u64,
+    /// Tasks whose start may still be carried out by a worker that did not answer it.
+    pub starts_in_flight: u64,
+    /// Times that a due task waited for a start in flight.
+    pub jobs_held_by_start: u64,
     /// Stop requests sent.
     pub stops: u64,
     /// Stops that a worker refused for reasons other than a fencing token or a reboot.
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -5,6 +5,7 @@
 //! in the queues of the world, and does not call a system that runs before it. The exceptions are
 //! [`holds::begin_acquisition`] and [`crashes::record_loss`], which [`polls`] and [`stops`] call.
 
+pub mod cancels;
 pub mod cell_assignment;
 pub mod configuration;
 pub mod containment;
@@ -21,6 +22,7 @@
 pub mod run_list;
 pub mod runner;
 pub mod starts;
+pub mod starts_in_flight;
 pub mod stops;
 pub mod suspect_reports;
 pub mod sweep;
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -3,6 +3,7 @@
 use super::crashes;
 use super::polls;
 use super::run_list::RunList;
+use super::starts_in_flight;
 use crate::guarded::action::Action;
 use crate::guarded::model::ids::{RunId, WorkerId};
 use crate::guarded::model::reply::{RunEnd, StopReply};
@@ -208,6 +209,7 @@
         let held = row.hold == Hold::Held;
         if held && was_silent {
             crashes::record_loss(world, cx, id, WorkerEnd::Silent, |_| false);
+            starts_in_flight::handle_loss(world, cx.now, id);
         }
         world.end_all_runs(id, RunEnd::Lapsed);
         if held {
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -1,12 +1,12 @@
 //! Periodic checks: jobs that can't end in time, runs that hang, and workers that left the
 //! registry.
 
-use super::{cell_assignment, containment, dispatch, runner, stops};
+use super::{cell_assignment, containment, dispatch, runner, starts_in_flight, stops};
 use crate::collections::FastMap;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
 use crate::guarded::model::ids::{ClientJobId, QueueId, RunId, WorkerId};
-use crate::guarded::policy::PEER_CHECK_INTERVAL;
+use crate::guarded::policy::{CLIENT_TIMEOUT_SLACK, PEER_CHECK_INTERVAL};
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
 use crate::guarded::tables::worker::{Run, RunState};
 use crate::guarded::world::{Cx, World};
@@ -20,8 +20,6 @@
 const HANG_FACTOR: f64 = 4.0;
 /// Constant allowance on top of the factor.
 const HANG_SLACK: Duration = Duration::from_millis(250);
-/// Time past the client's timeout at which the runner ends a job whose entry did not withdraw it.
-const CLIENT_TIMEOUT_SLACK: Duration = Duration::from_millis(100);
 
 /// Load of the workers of a contained queue, during a check of its jobs.
 #[derive(Clone, Copy, Debug)]
@@ -47,6 +45,7 @@
 /// Runs all checks.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     world.suspects.evict(cx.now);
+    starts_in_flight::run(world, cx);
     refuse_late_jobs(world, cx);
     stop_hanging_runs(world, cx);
     remove_missing_workers(world, cx);
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -73,6 +73,8 @@
     pub estimate: Duration,
     /// Run time predicted for this worker.
     pub predicted: Duration,
+    /// Fencing token of its start requests.
+    pub token: FencingToken,
     /// Number of start requests sent; 0 for a run that another VM started.
     pub start_requests: u32,
     /// Whether the worker has told that it runs, or ran.
@@ -108,6 +110,8 @@
     pub number: u64,
     /// Time at which it was sent.
     pub sent_at: Time,
+    /// Whether it is a probe that fences the worker, to rule out a start in flight.
+    pub fences: bool,
 }
 
 /// A reading of the worker's clock.
@@ -253,10 +257,12 @@
         self.withheld_since = None;
     }
 
-    /// Returns an estimate of the worker's clock at `now`, in milliseconds.
+    /// Returns an estimate of the worker's clock at `now`, in milliseconds. It is not ahead of the
+    /// clock, even if that is slow, so that no lease lasts longer than intended.
     pub fn clock_at(&self, now: Time) -> Option<u64> {
         let sample = self.clock?;
-        let passed = u64::try_from(now.since(sample.at).as_millis()).unwrap_or(u64::MAX);
+        let passed = now.since(sample.at).div_f64(CLOCK_SLACK);
+        let passed = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
         Some(sample.clock_ms.saturating_add(passed))
     }
 
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -12,6 +12,8 @@
 
 #[macro_use]
 mod cases;
+mod bounds;
+mod cancels;
 mod capacity;
 mod crashes;
 mod history;
@@ -21,5 +23,6 @@
 mod scale;
 mod sim;
 mod stale_knowledge;
+mod starts_in_flight;
 mod stops;
 mod worker;
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Cancels a job at a VM.
+    pub fn cancel(&mut self, id: ClientJobId, vm: usize) -> CallId {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.push_event(self.now + LINK_LATENCY, vm, Event::Cancel { call, job: id });
+        call
+    }
+
     /// Lets the client disconnect without submitting the job again.
     pub fn abandon(&mut self, id: ClientJobId) {
         self.close_calls(id);
@@ -156,7 +164,9 @@
         let record = self.history.jobs.get_mut(&id).expect("the job is recorded");
         record.answer = Some(answer);
         record.answered_at = Some(self.now);
-        if matches!(answer, Answer::Lost(_)) {
+        // The platform sends a job again after a lost answer, but not after an error.
+        let is_resent = |cause: LossCause| cause.name() != "start_in_flight";
+        if matches!(answer, Answer::Lost(cause) if is_resent(cause)) {
             self.schedule_resend(id);
         } else {
             record.client_state = ClientState::Finished(self.now);
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -11,7 +11,7 @@
 use crate::history::{ClientState, History, JobRecord};
 use crate::worker::{Behaviour, ModelWorker};
 use cardamomslip_core::guarded::action::{Action, Poll};
-use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::answer::{Answer, LossCause};
 use cardamomslip_core::guarded::model::ids::{
     ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
 };
@@ -53,7 +53,7 @@
 /// Time from the start of a deadly task to the crash of its worker.
 const CRASH_DELAY: u64 = 10 * MS;
 /// Time from the crash of a worker to its restart.
-const WORKER_RESTART_DELAY: u64 = 3_300 * MS;
+pub const WORKER_RESTART_DELAY: u64 = 3_300 * MS;
 /// CPU of a default task, in thousandths of a core.
 const TASK_CPU_MILLI: u64 = 6_800;
 
@@ -214,12 +214,18 @@
     replaced_workers: BTreeSet<usize>,
     /// Heartbeats that each VM sent and received.
     pub heartbeats: Vec<HeartbeatCount>,
+    /// Acknowledged cancellations, and whether the VM knew the job.
+    pub cancel_acks: BTreeMap<CallId, bool>,
     /// Number of starts and stops that each VM sent.
     pub orders: Vec<u64>,
     /// Whether a VM that starts can't read the configuration from the store.
     pub configuration_unavailable: bool,
     /// Number of configurations sent between VMs.
     pub queues_sent: u64,
+    /// Number of next starts to hold back. They are not answered.
+    pub starts_to_hold: u32,
+    /// Starts that were held back: worker, VM, boot of the VM, request.
+    held_starts: Vec<(usize, usize, u32, Action)>,
     /// Number of requests to workers that are down or replaced.
     pub misdirected_requests: u64,
     rng: SmallRng,
@@ -260,9 +266,12 @@
             faults: BTreeSet::new(),
             replaced_workers: BTreeSet::new(),
             heartbeats: vec![HeartbeatCount::default(); shape.vms],
+            cancel_acks: BTreeMap::new(),
             orders: vec![0; shape.vms],
             configuration_unavailable: false,
             queues_sent: 0,
+            starts_to_hold: 0,
+            held_starts: Vec::new(),
             misdirected_requests: 0,
             rng,
             next_call: 0,
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns the number of runs in progress.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
     /// Restarts under the same id and loses all runs, the lease and the fencing token.
     pub fn reboot(&mut self, now: u64) {
         let started = self.started;
@@ -157,6 +162,11 @@
         Some(first.min(expiry).max(now + 1))
     }
 
+    /// Returns the time until the lease expires, in milliseconds of the worker's clock.
+    pub fn lease_left_ms(&self, now: u64) -> u64 {
+        self.lease_end_ms.saturating_sub(self.clock_ms(now))
+    }
+
     /// Raises the highest fencing token seen.
     pub fn raise_token(&mut self, token: FencingToken) {
         self.token = self.token.max(token);
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -4,9 +4,12 @@
 //! in microseconds.
 
 mod heartbeat;
+mod start;
 mod suspect;
+mod task;
 
 use self::heartbeat::HeartbeatWire;
+use self::start::StartReportWire;
 use self::suspect::SuspectReportWire;
 use crate::peers::{PeerMessage, WireError};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
@@ -21,6 +24,8 @@
 
 /// Maximum number of reports on suspects of one message that are read.
 const MAX_SUSPECT_REPORTS: usize = 1_024;
+/// Maximum number of reports on starts in flight of one message that are read.
+const MAX_START_REPORTS: usize = 1_024;
 /// Maximum nesting depth of a frame.
 const MAX_DEPTH: usize = 16;
 
@@ -53,12 +58,16 @@
     Finished(u64, AnswerWire),
     #[serde(rename = "w")]
     Withdraw(u64),
+    #[serde(rename = "x")]
+    Cancel(u64, bool),
     #[serde(rename = "a")]
     RequestQueues(u64),
     #[serde(rename = "q")]
     Queues(u64, u64, Vec<QueueWire>),
     #[serde(rename = "c")]
     Suspects(Vec<SuspectReportWire>),
+    #[serde(rename = "s")]
+    Starts(Vec<StartReportWire>),
 }
 
 /// `id`, `settings`, `payload`, `steps`, `client_timeout`.
@@ -103,12 +112,13 @@
 ];
 
 /// Loss causes by wire code.
-const LOSS_CAUSES: [LossCause; 5] = [
+const LOSS_CAUSES: [LossCause; 6] = [
     LossCause::DeadlinePassed,
     LossCause::RunnerLost,
     LossCause::Paused,
     LossCause::Stopping,
     LossCause::Suspected,
+    LossCause::StartInFlight,
 ];
 
 fn micros(span: Duration) -> u64 {
@@ -129,6 +139,7 @@
             Message::Place { job, age } => Self::Place((&**job).into(), micros(*age)),
             Message::Finished { job, answer } => Self::Finished(job.0, (*answer).into()),
             Message::Withdraw { job } => Self::Withdraw(job.0),
+            Message::Cancel { job, pass_on } => Self::Cancel(job.0, *pass_on),
             Message::RequestQueues { version } => Self::RequestQueues(*version),
             Message::Queues(table) => Self::Queues(
                 table.version,
@@ -136,6 +147,7 @@
                 table.iter().map(QueueWire::from).collect(),
             ),
             Message::Suspects(reports) => Self::Suspects(reports.iter().map(Into::into).collect()),
+            Message::Starts(reports) => Self::Starts(reports.iter().map(Into::into).collect()),
         }
     }
 }
@@ -157,6 +169,10 @@
             MessageWire::Withdraw(job) => Self::Withdraw {
                 job: ClientJobId(job),
             },
+            MessageWire::Cancel(job, pass_on) => Self::Cancel {
+                job: ClientJobId(job),
+                pass_on,
+            },
             MessageWire::RequestQueues(version) => Self::RequestQueues { version },
             MessageWire::Queues(version, max_body_bytes, queues) => {
                 let queues = queues.into_iter().map(Queue::try_from);
@@ -168,6 +184,11 @@
                 let reports = reports.map(TryInto::try_into);
                 Self::Suspects(reports.collect::<Result<_, _>>()?)
             }
+            MessageWire::Starts(reports) => {
+                let reports = reports.into_iter().take(MAX_START_REPORTS);
+                let reports = reports.map(TryInto::try_into);
+                Self::Starts(reports.collect::<Result<_, _>>()?)
+            }
         })
     }
 }
@@ -322,6 +343,7 @@
                 Self(2, code_of(&REFUSAL_CAUSES, &cause), micros(retry_after))
             }
             Answer::Lost(cause) => Self(3, code_of(&LOSS_CAUSES, &cause), 0),
+            Answer::Cancelled => Self(4, 0, 0),
         }
     }
 }
@@ -340,6 +362,7 @@
                 retry_after: Duration::from_micros(micros),
             },
             3 => Self::Lost(*LOSS_CAUSES.get(cause).ok_or_else(unknown)?),
+            4 => Self::Cancelled,
             _ => return Err(unknown()),
         })
     }
