platform client of the product: use new connections after a timeout

Its agent keeps up to three idle connections to the platform; after they went silent each was tried in turn, and each try lasted 3 s.

Change: after a call that timed out, the client replaces its agent, and with it the idle connections. A refusal, a reset or a status replaces nothing.

Test: `a_platform_call_that_timed_out_discredits_idle_connections` (tests/pool.rs), first seen to fail on the code before: "the retry was lost too". The server of tests/pool.rs answers with a body now, as this client needs one.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -4,6 +4,7 @@
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 /// Timeout of a call; a watch adds its own wait.
@@ -32,10 +33,14 @@
     pub version: u64,
 }
 
-/// Client of the platform's service. Its methods block the calling thread.
+/// Client of the platform's service. Its methods block the calling thread. Clones share the
+/// connections.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
-    agent: ureq::Agent,
+    /// Replaced after a call that timed out: open connections may go silent without a reset, so the
+    /// idle ones of the agent are not to be trusted then.
+    agent: Arc<RwLock<ureq::Agent>>,
+    connect_timeout: Duration,
     base: String,
 }
 
@@ -43,17 +48,27 @@
     /// Creates a client of the service at `address`.
     #[must_use]
     pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_connect(Some(connect_timeout))
-            .proxy(None)
-            .build();
         Self {
-            agent: config.into(),
+            agent: Arc::new(RwLock::new(new_agent(connect_timeout))),
+            connect_timeout,
             base: format!("http://{address}"),
         }
     }
 
+    fn agent(&self) -> ureq::Agent {
+        let agent = self.agent.read().unwrap_or_else(PoisonError::into_inner);
+        agent.clone()
+    }
+
+    /// Converts the error of a call. After a timeout, later calls use new connections.
+    fn handle_error(&self, e: &ureq::Error) -> PlatformError {
+        if matches!(e, ureq::Error::Timeout(_)) {
+            let mut agent = self.agent.write().unwrap_or_else(PoisonError::into_inner);
+            *agent = new_agent(self.connect_timeout);
+        }
+        PlatformError::Unavailable(e.to_string())
+    }
+
     /// Reads the value under `key`; `None` if the key is absent.
     ///
     /// # Errors
@@ -126,12 +141,12 @@
         let query: Vec<_> = expect.into_iter().chain(ttl).collect();
         let url = format!("{}/kv/{key}?{}", self.base, query.join("&"));
         let req = self
-            .agent
+            .agent()
             .put(url)
             .config()
             .timeout_global(Some(CALL_TIMEOUT))
             .build();
-        let response = req.send_json(value).map_err(unavailable)?;
+        let response = req.send_json(value).map_err(|e| self.handle_error(&e))?;
         match response.status().as_u16() {
             200 => Ok(()),
             409 => Err(PlatformError::Conflict),
@@ -146,16 +161,18 @@
     ) -> Result<Option<T>, PlatformError> {
         let url = format!("{}{path}", self.base);
         let req = self
-            .agent
+            .agent()
             .get(url)
             .config()
             .timeout_global(Some(timeout))
             .build();
-        let mut response = req.call().map_err(unavailable)?;
+        let mut response = req.call().map_err(|e| self.handle_error(&e))?;
         match response.status().as_u16() {
             200 => {
                 let body = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES);
-                body.read_json().map(Some).map_err(unavailable)
+                body.read_json()
+                    .map(Some)
+                    .map_err(|e| self.handle_error(&e))
             }
             404 => Ok(None),
             status => Err(PlatformError::Unavailable(format!("status {status}"))),
@@ -163,10 +180,11 @@
     }
 }
 
-#[allow(
-    clippy::needless_pass_by_value,
-    reason = "used as a function of Result::map_err"
-)]
-fn unavailable(e: ureq::Error) -> PlatformError {
-    PlatformError::Unavailable(e.to_string())
+fn new_agent(connect_timeout: Duration) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_connect(Some(connect_timeout))
+        .proxy(None)
+        .build();
+    config.into()
 }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -2,6 +2,7 @@
 //! connections it trusts.
 
 use cardamomslip::http::{OpenedConnections, Pool, PoolError};
+use cardamomslip::platform::PlatformClient;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Bytes;
@@ -21,6 +22,8 @@
 /// Time that a server needs for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(40);
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Body of each response: a value of the product's own store.
+const BODY: &str = r#"{"value":7,"version":1}"#;
 
 /// Sends a request and reads the whole response.
 async fn send(pool: &Pool) -> Result<(), PoolError> {
@@ -49,8 +52,11 @@
 }
 
 fn respond(stream: &mut TcpStream) {
-    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-    stream.write_all(response).expect("a connection");
+    let response = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{BODY}",
+        BODY.len()
+    );
+    stream.write_all(response.as_bytes()).expect("a connection");
 }
 
 /// Runs a server for one connection, which then ends with its listener, while the body uses the
@@ -268,3 +274,28 @@
         );
     });
 }
+
+/// Guards against a call of the product's own interface that is lost on one silent idle connection
+/// after the other, for three seconds each.
+#[test]
+fn a_platform_call_that_timed_out_discredits_idle_connections() {
+    let server = SilencingServer::start();
+    let address = server.address.parse().expect("an address");
+    let client = PlatformClient::new(address, CONNECT_TIMEOUT);
+    let read = |client: &PlatformClient| {
+        let row = client.get::<u32>("key");
+        row.map(|row| row.map(|row| row.value))
+    };
+    std::thread::scope(|scope| {
+        let calls = [(); 3].map(|()| scope.spawn(|| read(&client)));
+        for call in calls {
+            assert_eq!(call.join().expect("a thread").expect("a response"), Some(7));
+        }
+    });
+    assert_eq!(server.accepted(), 3);
+    server.silence_all();
+    assert!(read(&client).is_err(), "the connections are silent");
+    let retried = read(&client);
+    assert!(matches!(retried, Ok(Some(7))), "the retry was lost too");
+    assert_eq!(server.accepted(), 4);
+}
