starts in flight: a peer that connects is told of those that are ruled out, too

Traced in the oracle: a start of 2.953 s (boot of 0 s) was ruled out by its stop at 3.694 s and reported; VM 2, which held the worker, was killed at 3.841 s and started anew, became its holder again, and saw the crash of 5.115 s; the boot of 8.415 s carried the copy out at 9.143 s beside a run of 9.045 s.

The rows are also kept in the order of their age: removing the oldest visited all of them.

--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -315,13 +315,17 @@
     }
 }
 
-/// Tells a peer that has just connected of the newest starts in flight.
+/// Tells a peer that has just connected of the newest starts in flight, also of those that are ruled out:
+/// it may be the one that sees the loss of their workers.
 pub fn report_to(world: &World, cx: &mut Cx<'_>, to: Incarnation) {
-    let rows = world.starts_in_flight.newest_open();
-    let reports = rows.iter().take(MAX_REPORTED);
-    let reports: Vec<StartReport> = reports
-        .map(|(worker, task, row)| open_report(cx.now, *worker, *task, row))
-        .collect();
+    let mut reports = Vec::new();
+    let rows = world.starts_in_flight.newest();
+    for (worker, task, row) in rows.take(MAX_REPORTED) {
+        reports.push(open_report(cx.now, worker, task, row));
+        if row.open.is_none() {
+            reports.push(StartReport::RuledOut { task, worker });
+        }
+    }
     if !reports.is_empty() {
         cx.emit(Action::Send {
             to,
--- a/crates/core/src/guarded/tables/starts_in_flight.rs
+++ b/crates/core/src/guarded/tables/starts_in_flight.rs
@@ -6,7 +6,7 @@
 use crate::collections::FastMap;
 use crate::guarded::model::ids::{ClientJobId, FencingToken, TaskId, WorkerId};
 use crate::model::time::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Maximum number of rows. Beyond it the oldest one is removed.
@@ -70,6 +70,8 @@
 #[derive(Debug, Default)]
 pub struct StartsInFlight {
     rows: BTreeMap<(WorkerId, TaskId), StartInFlight>,
+    /// The rows by age, oldest first.
+    by_age: BTreeSet<(Time, WorkerId, TaskId)>,
     /// Workers with an open row, by task.
     open: FastMap<TaskId, Vec<WorkerId>>,
     /// Due tasks that wait, and since when.
@@ -119,28 +121,26 @@
         !self.open.is_empty() && self.of_worker(worker).any(|(_, row)| row.open.is_some())
     }
 
-    /// Returns the open rows, newest first.
-    pub fn newest_open(&self) -> Vec<(WorkerId, TaskId, StartInFlight)> {
-        let rows = self.rows.iter().filter(|(_, row)| row.open.is_some());
-        let mut rows: Vec<_> = rows
-            .map(|(&(worker, task), &row)| (worker, task, row))
-            .collect();
-        rows.sort_unstable_by_key(|(.., row)| std::cmp::Reverse(row.sent_at));
-        rows
+    /// Iterates over the rows, newest first.
+    pub fn newest(&self) -> impl Iterator<Item = (WorkerId, TaskId, &StartInFlight)> {
+        let keys = self.by_age.iter().rev();
+        keys.filter_map(|&(_, worker, task)| Some((worker, task, self.get(worker, task)?)))
     }
 
     /// Adds a row, or merges it with the one that is there.
     pub fn record(&mut self, worker: WorkerId, task: TaskId, mut row: StartInFlight) {
         if let Some(earlier) = self.rows.get(&(worker, task)) {
             row.merge(earlier);
+            self.by_age.remove(&(earlier.sent_at, worker, task));
         } else if self.rows.len() >= MAX_ROWS {
             self.remove_oldest();
         }
+        self.by_age.insert((row.sent_at, worker, task));
         self.rows.insert((worker, task), row);
         self.index(worker, task, row.open.is_some());
     }
 
-    /// Changes a row.
+    /// Changes whether a row is open, or who knows of it.
     pub fn update(
         &mut self,
         worker: WorkerId,
@@ -157,19 +157,20 @@
     /// Removes a row.
     pub fn remove(&mut self, worker: WorkerId, task: TaskId) -> Option<StartInFlight> {
         self.index(worker, task, false);
-        self.rows.remove(&(worker, task))
+        let row = self.rows.remove(&(worker, task))?;
+        self.by_age.remove(&(row.sent_at, worker, task));
+        Some(row)
     }
 
     /// Returns the rows that no worker can carry out any more because of their age.
     pub fn aged(&self, now: Time, max_age: Duration) -> Vec<(WorkerId, TaskId)> {
-        let rows = self.rows.iter();
-        let aged = rows.filter(|(_, row)| now.since(row.sent_at) > max_age);
-        aged.map(|(&key, _)| key).collect()
+        let rows = self.by_age.iter();
+        let aged = rows.take_while(|(sent_at, ..)| now.since(*sent_at) > max_age);
+        aged.map(|&(_, worker, task)| (worker, task)).collect()
     }
 
     fn remove_oldest(&mut self) {
-        let oldest = self.rows.iter().min_by_key(|(_, row)| row.sent_at);
-        if let Some((&(worker, task), _)) = oldest {
+        if let Some(&(_, worker, task)) = self.by_age.first() {
             self.remove(worker, task);
         }
     }
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -429,7 +429,6 @@
 
     /// A start request that is delayed by seconds reaches a new boot of its worker, which starts
     /// the task while it runs on another worker.
-    #[ignore = "known failure, see KNOWN-RED.txt"]
     a_late_start_reaches_a_new_boot(15430833889979521388) => [
         Op::Advance(713),
         Op::Advance(633),
@@ -455,4 +454,49 @@
         Op::Suspend { vm: 2, ms: 738 },
         Op::Advance(197),
     ];
+
+    /// A copy of a start that was not answered reached a new boot while the task ran on another worker:
+    /// its run had been confirmed.
+    a_late_start_reaches_a_new_boot_of_a_crashed_worker(6308606473079851753) => [
+        Op::Submit { vm: 3, tasks: 4, work_ms: 1000 },
+        Op::Submit { vm: 1, tasks: 2, work_ms: 582 },
+        Op::Submit { vm: 0, tasks: 1, work_ms: 286 },
+        Op::Submit { vm: 1, tasks: 3, work_ms: 371 },
+        Op::CrashWorker(0),
+        Op::Submit { vm: 0, tasks: 2, work_ms: 712 },
+        Op::DelayRequests(34),
+        Op::Advance(211),
+        Op::Submit { vm: 0, tasks: 5, work_ms: 905 },
+        Op::SubmitDeadly { vm: 0, tasks: 1, timeout_ms: 1039 },
+        Op::Advance(744),
+        Op::SubmitDeadly { vm: 2, tasks: 2, timeout_ms: 1769 },
+    ];
+
+    /// The same after the holder and its peers were lost or stood still.
+    a_late_start_reaches_a_new_boot_after_its_holder_is_lost(4853856769859874117) => [
+        Op::LoseReplies(28),
+        Op::DelayRequests(31),
+        Op::Advance(109),
+        Op::Submit { vm: 1, tasks: 2, work_ms: 604 },
+        Op::ResizeWorker { worker: 2, percent: 43 },
+        Op::Advance(834),
+        Op::Submit { vm: 0, tasks: 5, work_ms: 865 },
+        Op::Submit { vm: 0, tasks: 4, work_ms: 136 },
+        Op::Submit { vm: 1, tasks: 4, work_ms: 476 },
+        Op::Advance(94),
+        Op::Advance(321),
+        Op::ResizeWorker { worker: 0, percent: 40 },
+        Op::Advance(483),
+        Op::SubmitDeadly { vm: 1, tasks: 1, timeout_ms: 1207 },
+        Op::Freeze { vm: 1, ms: 779 },
+        Op::Kill { vm: 0, power: true },
+        Op::Suspend { vm: 3, ms: 421 },
+        Op::CrashWorker(1),
+        Op::SubmitDeadly { vm: 0, tasks: 1, timeout_ms: 1000 },
+        Op::Advance(11),
+        Op::Kill { vm: 2, power: false },
+        Op::ChangeQueues,
+        Op::Submit { vm: 1, tasks: 5, work_ms: 232 },
+        Op::Advance(449),
+    ];
 }
