starts in flight: an outdated peer no longer rules out what a later loss has opened again

A VM that had stood still thereby closed the start that the present holder had opened again at the loss of the worker.

Traced: the start of 3.700 s was ruled out by VM 2 at 3.826 s; worker 4 crashed at 6.159 s, VM 0 told the others; VM 2 woke at 7.947 s and told them that it was ruled out; the task ran on worker 3 from 8.847 s, and the boot of 9.459 s carried the copy out at 9.739 s.

Change: what a new peer is told of starts that are ruled out is a report of its own, which counts only for a receiver that knows nothing of the start.

--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -64,6 +64,20 @@
         /// Time since the start was sent.
         age: Duration,
     },
+    /// It was ruled out on the worker's boot that the sender knows; a new boot may carry it out. A receiver
+    /// that knows of the start ignores this, as it may be out of date.
+    Known {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+        /// Number of the run.
+        number: u64,
+        /// Fencing token of the start.
+        token: FencingToken,
+        /// Time since the start was sent.
+        age: Duration,
+    },
     /// The present boot of the worker does not carry it out.
     RuledOut {
         /// The task.
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -321,10 +321,17 @@
     let mut reports = Vec::new();
     let rows = world.starts_in_flight.newest();
     for (worker, task, row) in rows.take(MAX_REPORTED) {
-        reports.push(open_report(cx.now, worker, task, row));
-        if row.open.is_none() {
-            reports.push(StartReport::RuledOut { task, worker });
-        }
+        reports.push(if row.open.is_some() {
+            open_report(cx.now, worker, task, row)
+        } else {
+            StartReport::Known {
+                task,
+                worker,
+                number: row.number,
+                token: row.token,
+                age: cx.now.since(row.sent_at),
+            }
+        });
     }
     if !reports.is_empty() {
         cx.emit(Action::Send {
@@ -345,18 +352,24 @@
                 token,
                 age,
             } => {
-                let row = StartInFlight {
-                    number,
-                    token,
-                    sent_at: now.minus(age),
-                    boot: None,
-                    open: Some(OpenCause::Reported),
-                    is_shared: true,
-                };
+                let row = reported(now, number, token, age, Some(OpenCause::Reported));
                 if age <= world.policy.max_request_delay {
                     record_reported(world, now, worker, task, row);
                 }
             }
+            StartReport::Known {
+                task,
+                worker,
+                number,
+                token,
+                age,
+            } => {
+                let is_new = world.starts_in_flight.get(worker, task).is_none();
+                if is_new && age <= world.policy.max_request_delay {
+                    let row = reported(now, number, token, age, None);
+                    world.starts_in_flight.record(worker, task, row);
+                }
+            }
             StartReport::RuledOut { task, worker } => {
                 world.starts_in_flight.update(worker, task, |row| {
                     row.open = None;
@@ -367,6 +380,23 @@
     }
 }
 
+fn reported(
+    now: Time,
+    number: u64,
+    token: FencingToken,
+    age: Duration,
+    open: Option<OpenCause>,
+) -> StartInFlight {
+    StartInFlight {
+        number,
+        token,
+        sent_at: now.minus(age),
+        boot: None,
+        open,
+        is_shared: open.is_some(),
+    }
+}
+
 fn record_reported(
     world: &mut World,
     now: Time,
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -499,4 +499,30 @@
         Op::Submit { vm: 1, tasks: 5, work_ms: 232 },
         Op::Advance(449),
     ];
+
+    /// A VM that had stood still told others that a start was ruled out, after the worker's next loss.
+    a_late_start_reaches_a_new_boot_after_a_peer_stood_still(18_009_148_844_672_900_136) => [
+        Op::CrashWorker(2),
+        Op::Submit { vm: 2, tasks: 4, work_ms: 238 },
+        Op::Advance(118),
+        Op::Advance(868),
+        Op::SubmitDeadly { vm: 0, tasks: 1, timeout_ms: 1000 },
+        Op::Submit { vm: 2, tasks: 1, work_ms: 423 },
+        Op::SetBehaviour { worker: 4, behaviour: Behaviour::FailAll },
+        Op::ChangeQueues,
+        Op::SubmitDeadly { vm: 2, tasks: 1, timeout_ms: 2655 },
+        Op::Kill { vm: 0, power: true },
+        Op::Advance(593),
+        Op::SubmitDeadly { vm: 2, tasks: 1, timeout_ms: 1060 },
+        Op::Submit { vm: 2, tasks: 3, work_ms: 893 },
+        Op::DelayRequests(30),
+        Op::Submit { vm: 1, tasks: 5, work_ms: 652 },
+        Op::SubmitDeadly { vm: 1, tasks: 1, timeout_ms: 1744 },
+        Op::Submit { vm: 2, tasks: 1, work_ms: 20 },
+        Op::Advance(710),
+        Op::Freeze { vm: 2, ms: 3613 },
+        Op::Advance(558),
+        Op::SubmitDeadly { vm: 0, tasks: 1, timeout_ms: 1000 },
+        Op::Kill { vm: 1, power: false },
+    ];
 }
--- a/src/guarded/wire/start.rs
+++ b/src/guarded/wire/start.rs
@@ -29,6 +29,20 @@
                 token.0,
                 super::micros(age),
             ),
+            StartReport::Known {
+                task,
+                worker,
+                number,
+                token,
+                age,
+            } => Self(
+                task.into(),
+                2,
+                worker.0,
+                number,
+                token.0,
+                super::micros(age),
+            ),
             StartReport::RuledOut { task, worker } => Self(task.into(), 1, worker.0, 0, 0, 0),
         }
     }
@@ -51,6 +65,13 @@
                 age: Duration::from_micros(age),
             },
             1 => Self::RuledOut { task, worker },
+            2 => Self::Known {
+                task,
+                worker,
+                number,
+                token: FencingToken(token),
+                age: Duration::from_micros(age),
+            },
             _ => return Err(WireError::new(&"unknown kind of report")),
         })
     }
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -154,6 +154,13 @@
             token: FencingToken(u64::MAX),
             age: Duration::from_micros(14_999_999),
         },
+        StartReport::Known {
+            task,
+            worker,
+            number: u64::MAX,
+            token: FencingToken(0),
+            age: Duration::ZERO,
+        },
         StartReport::RuledOut { task, worker },
     ])
 }
