guarded: start runs on a worker only by the entry of its present boot

A worker that comes back under its id as another kind got tasks by the labels and the capacity of its earlier boot.

Cause: an entry wasn't bound to a boot; after a restart the dispatcher acquired the new boot at once, with the entry of the old one, for 0.8 s or more until the new entry was read.

Cost: a worker that restarts under its id gets no task until its new entry is read, also while the store is away. Not measured.

--- a/crates/core/src/guarded/model/worker.rs
+++ b/crates/core/src/guarded/model/worker.rs
@@ -20,6 +20,8 @@
     pub labels: Vec<Arc<str>>,
     /// Whether it is draining and must get no new runs.
     pub draining: bool,
+    /// Boot that the entry is of, as in replies to polls; `None` if the entry does not say.
+    pub boot: Option<u64>,
 }
 
 impl WorkerEntry {
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -285,9 +285,17 @@
             && self.health.ejected_until <= now
             && self.full_until <= now
             && self.clock.is_some()
+            && self.is_entry_of_boot()
             && now.since(self.last_answer_at) < stale_after
     }
 
+    /// Returns whether the entry is of the boot that answers polls, as far as known. Another boot may
+    /// be of another kind and size.
+    fn is_entry_of_boot(&self) -> bool {
+        let boots = self.entry.boot.zip(self.boot);
+        boots.is_none_or(|(listed, answering)| listed == answering)
+    }
+
     /// Returns whether the worker is being acquired and will be usable shortly.
     pub fn is_usable_soon(&self, now: Time) -> bool {
         let is_imminent = match self.hold {
--- a/crates/core/tests/guarded/capacity.rs
+++ b/crates/core/tests/guarded/capacity.rs
@@ -62,4 +62,16 @@
         sim.kill(1 - holder, true);
         overload(sim, 6_000);
     };
+
+    /// Guards against starts on a new boot by the kind and the size of the boot before.
+    a_new_boot_gets_no_tasks_before_its_entry(FOUR_WORKERS) => |sim| {
+        overload(sim, 1_000);
+        sim.reboot_unlisted(0);
+        let before = sim.workers[0].started;
+        overload(sim, 1_500);
+        assert_eq!(sim.workers[0].started, before, "starts without an entry of the boot");
+        sim.publish_worker(0);
+        overload(sim, 1_500);
+        assert!(sim.workers[0].started > before, "no start after the entry");
+    };
 }
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -19,11 +19,12 @@
             capacity: row.capacity,
             labels: vec!["a".into()],
             draining: row.draining_since.is_some(),
+            boot: Some(row.boot),
         }
     }
 
     /// Delivers the registry entry of a worker, or its removal, to all VMs that follow the registry.
-    pub(super) fn publish_worker(&mut self, worker: usize) {
+    pub fn publish_worker(&mut self, worker: usize) {
         for vm in 0..self.vms.len() {
             if !self.vms[vm].follows_workers {
                 continue;
@@ -39,6 +40,12 @@
 
     /// Restarts a worker immediately, under the same id.
     pub fn reboot_worker(&mut self, worker: usize) {
+        self.reboot_unlisted(worker);
+        self.publish_worker(worker);
+    }
+
+    /// Restarts a worker immediately, under the same id. Its entry stays that of the boot before.
+    pub fn reboot_unlisted(&mut self, worker: usize) {
         let tasks: Vec<TaskId> = self.workers[worker].tasks().collect();
         for task in tasks {
             self.history.record_crash(task);
@@ -51,7 +58,6 @@
                 self.reply_unanswered(pending.vm, &action, REQUEST_TIMEOUT);
             }
         }
-        self.publish_worker(worker);
     }
 
     /// Changes the capacity of a running worker, which the registry shows.
