platform of the product: read audit and usage records one by one

What operators saw: with one odd record below the prefix, the audit trail and the usage answered 503 as long as it was there.

Change: each record is decoded by itself; one that can't be is logged, cut to 200 characters, and left out. A sum of usage then lacks that record.

Test: an_odd_record_costs_only_itself (api), first seen to fail on the code before (503 "invalid type: integer `7`, expected struct ChangeRecordWire").

--- a/crates/test/tests/api.rs
+++ b/crates/test/tests/api.rs
@@ -108,6 +108,29 @@
         assert_eq!(cluster.counts().starts, 0);
     };
 
+    /// Guards against an audit trail and usage reports that can't be read for one odd record.
+    an_odd_record_costs_only_itself => |cluster| {
+        let opts = CommandOptions { why: Some("test".to_owned()), ..CommandOptions::default() };
+        let operator = cluster.operator(0);
+        let exit = commands::run(&operator, &["preset", "apply", "maintenance"], &opts);
+        assert_eq!(exit.expect("a response"), Exit::Success);
+        let count = |path: &str| {
+            let response = operator.get(path).expect("a response");
+            assert_eq!(response.status, 200, "{path}: {}", response.body);
+            response.body.as_array().map(Vec::len)
+        };
+        let before = count("/v1/operator/audit");
+        let address = cluster.platform.address();
+        for prefix in ["cardamomslip/audit/", "cardamomslip/usage/"] {
+            for (number, odd) in [json!(7), json!({}), json!([[[[[]]]]]), json!("x")].iter().enumerate() {
+                let url = format!("http://{address}/kv/{prefix}odd-{number}");
+                ureq::put(url).send(odd.to_string()).expect("a write");
+            }
+        }
+        assert_eq!(count("/v1/operator/audit"), before);
+        count("/v1/operator/usage");
+    };
+
     /// Under the preset `maintenance` jobs are refused as not run, and `/readyz` reports the VM as
     /// not ready, so that load balancers stop using it.
     maintenance => |cluster| {
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +12,9 @@
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Maximum length of a key or a reason in a log line, in characters.
+const MAX_LOGGED_CHARS: usize = 200;
+
 /// Error of a call to the platform.
 #[derive(Debug, thiserror::Error)]
 pub enum PlatformError {
@@ -85,7 +89,8 @@
         self.read(&path, CALL_TIMEOUT + wait)
     }
 
-    /// Reads all values under keys that start with `prefix`.
+    /// Reads all values under keys that start with `prefix`. Those that can't be decoded are logged
+    /// and left out.
     ///
     /// # Errors
     ///
@@ -95,7 +100,13 @@
         prefix: &str,
     ) -> Result<BTreeMap<String, Versioned<T>>, PlatformError> {
         let rows = self.read(&format!("/kv?prefix={prefix}"), CALL_TIMEOUT)?;
-        Ok(rows.unwrap_or_default())
+        let rows: BTreeMap<String, Box<RawValue>> = rows.unwrap_or_default();
+        let rows = rows.into_iter().filter_map(|(key, row)| {
+            let row = serde_json::from_str(row.get());
+            let row = row.map_err(|e| log_invalid(&key, &e)).ok()?;
+            Some((key, row))
+        });
+        Ok(rows.collect())
     }
 
     /// Reads the VM list; `None` if the platform has none.
@@ -163,6 +174,13 @@
     }
 }
 
+/// Logs a value that can't be decoded. The reason may quote what another writer left.
+fn log_invalid(key: &str, error: &serde_json::Error) {
+    let cut = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+    let (key, reason) = (cut(key), cut(&error.to_string()));
+    tracing::warn!(key, reason, "value can't be used");
+}
+
 #[allow(
     clippy::needless_pass_by_value,
     reason = "used as a function of Result::map_err"
