--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -99,6 +99,9 @@
     /// A task of the job crashed two workers, so the job was given up.
     task_crashed_workers("deadly-task.log", "bc016e4db4686204")
         => Cause::TaskFailed, "it was given up, because workers crashed under a task of it";
+    /// A start of the job was not answered and its worker crashed, so the task waited for the next boot.
+    task_waited_for_a_start("start-in-flight.log", "feed000000000000")
+        => Cause::Completed, "starts in flight that a task of it waited for";
 }
 
 #[test]
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -456,7 +456,7 @@
 /// Forgets the tasks that no longer wait.
 fn release_tasks(world: &mut World) {
     let mut held = std::mem::take(&mut world.starts_in_flight.held);
-    held.retain(|&task, _| is_held(world, task));
+    held.retain(|&task, _| is_waiting(world, task));
     world.starts_in_flight.held = held;
 }
 
@@ -481,7 +481,7 @@
                 %run,
                 %worker,
                 boot = row.boot,
-                why = ?row.open,
+                why = row.open.map(OpenCause::name),
                 age_ms = now.since(row.sent_at).as_millis(),
                 "a task waits: a start of it was not answered and may still be carried out"
             );
@@ -491,11 +491,14 @@
 
 /// Returns whether a task would start if no start of it were in flight.
 fn is_held(world: &World, task: TaskId) -> bool {
+    is_waiting(world, task) && !world.present_runs.contains_key(&task)
+}
+
+/// Returns whether a due task has a start in flight.
+fn is_waiting(world: &World, task: TaskId) -> bool {
     let job = world.jobs.get(&task.job);
     let mut due = job.into_iter().flat_map(RunnerJob::due_tasks);
-    world.starts_in_flight.is_open(task)
-        && !world.present_runs.contains_key(&task)
-        && due.any(|row| row.id == task)
+    world.starts_in_flight.is_open(task) && due.any(|row| row.id == task)
 }
 
 /// Returns whether the client of a job times out before a due task of it may start and end.
--- a/crates/core/src/guarded/tables/starts_in_flight.rs
+++ b/crates/core/src/guarded/tables/starts_in_flight.rs
@@ -34,6 +34,19 @@
     Reported,
 }
 
+impl OpenCause {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unanswered => "unanswered",
+            Self::Pending => "pending",
+            Self::Started => "started",
+            Self::WorkerLost => "worker_lost",
+            Self::Reported => "reported",
+        }
+    }
+}
+
 /// The unanswered starts of a task on a worker. One row stands for all of them: it has the highest run
 /// number and token, and the time of the last one.
 #[derive(Clone, Copy, Debug)]
