--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -102,6 +102,9 @@
     /// A worker refused the stop of a run whose client had left.
     stop_refused("stop-refused.log", "9d20c4f1a7b35e68")
         => Cause::TimedOut, "1 leases of its workers that were let go because a stop had no effect";
+    /// A start of the job was not answered and its worker crashed, so the task waited for the next boot.
+    task_waited_for_a_start("start-in-flight.log", "feed000000000000")
+        => Cause::Completed, "starts in flight that a task of it waited for";
 }
 
 #[test]
