--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -556,4 +556,62 @@
         Op::Suspend { vm: 2, ms: 738 },
         Op::Advance(197),
     ];
+
+    /// A run whose stop was refused went on under a renewed lease, and its job was sent again.
+    a_run_whose_stop_is_refused_ends_with_its_lease(879_114_016_877_694_429) => [
+        Op::BeginAtAll {
+            fault: Fault::Refusal { worker: 0, request: Request::Stop },
+            ms: 2551,
+        },
+        Op::Advance(1),
+        Op::SubmitLong { vm: 0, tasks: 3, work_ms: 2317, timeout_ms: 698 },
+        Op::Submit { vm: 0, tasks: 4, work_ms: 168 },
+        Op::Advance(322),
+        Op::Advance(446),
+        Op::Advance(357),
+        Op::Advance(33),
+        Op::Advance(767),
+    ];
+
+    /// A run whose stops were lost went on under a renewed lease, and its job was sent again.
+    a_run_whose_stops_are_lost_ends_with_its_lease(7_621_172_562_994_467_053) => [
+        Op::SubmitLong { vm: 0, tasks: 4, work_ms: 1263, timeout_ms: 1683 },
+        Op::SubmitLong { vm: 1, tasks: 2, work_ms: 2478, timeout_ms: 913 },
+        Op::Advance(573),
+        Op::Freeze { vm: 0, ms: 50 },
+        Op::CutWorker { vm: 0, worker: 3 },
+        Op::Submit { vm: 0, tasks: 1, work_ms: 20 },
+        Op::Advance(187),
+        Op::BeginAtAll {
+            fault: Fault::Loss { vm: None, worker: 0, request: Request::Stop },
+            ms: 1460,
+        },
+        Op::Advance(662),
+        Op::Advance(798),
+    ];
+
+    /// A late start reached a worker that was back under its id after another one had answered there.
+    a_late_start_reaches_a_worker_that_returned(2_478_058_264_612_809_730) => [
+        Op::Submit { vm: 1, tasks: 2, work_ms: 736 },
+        Op::DelayRequests(9),
+        Op::ChangeQueues,
+        Op::Submit { vm: 1, tasks: 5, work_ms: 888 },
+        Op::Advance(324),
+        Op::ReplaceWorker { worker: 1, ms: 1027 },
+    ];
+
+    /// A late start reached a new boot, while polls were lost everywhere.
+    a_late_start_reaches_a_new_boot_while_polls_are_lost(13_708_715_085_791_015_116) => [
+        Op::DelayRequests(16),
+        Op::Submit { vm: 2, tasks: 1, work_ms: 20 },
+        Op::BeginAtAll {
+            fault: Fault::Loss { vm: None, worker: 0, request: Request::Poll },
+            ms: 2321,
+        },
+        Op::SubmitLong { vm: 2, tasks: 3, work_ms: 1200, timeout_ms: 982 },
+        Op::Advance(809),
+        Op::Advance(794),
+        Op::RebootWorker(2),
+        Op::Advance(717),
+    ];
 }
