polls: a listed run counts as present although a later run of its task has ended there

Cause: the acquiring poll listed run 1 while the table had run 2, so run 1 was only noted as untracked; then run 2, which was not listed, ended and ruled out the starts up to its number. The task started elsewhere.

Change: runs that are not listed end first, so that run 1 is recorded as present until it has been stopped; and an end that is inferred while a worker is being acquired rules nothing out, its token does.

--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -331,8 +331,9 @@
     row.record_clock(cx.now, status.clock_ms);
     starts_in_flight::rule_out_answered(world, cx.now, id, &status.running);
     apply_ended_runs(world, cx.now, id, &status);
-    apply_running_runs(world, cx, id, &status);
+    // First, so that a listed run of a task whose later run has ended counts as present.
     end_unlisted_runs(world, cx.now, id, sent_at, &status);
+    apply_running_runs(world, cx, id, &status);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
     };
@@ -455,9 +456,12 @@
         })
         .map(|run| run.id)
         .collect();
+    let is_held = row.hold == Hold::Held;
     for run in missing {
-        // Its start was carried out, or its stop was.
-        starts_in_flight::rule_out_run(world, now, id, run);
+        if is_held {
+            // Its start was carried out, or its stop was.
+            starts_in_flight::rule_out_run(world, now, id, run);
+        }
         world.end_run(id, run.task, None);
     }
 }
--- a/crates/core/tests/guarded/starts_in_flight.rs
+++ b/crates/core/tests/guarded/starts_in_flight.rs
@@ -176,3 +176,39 @@
     }
     assert_eq!(dispatcher.stats().starts_in_flight, 0);
 }
+
+/// Returns the workers that run a task of a job.
+fn workers_of(sim: &Sim, id: ClientJobId) -> Vec<usize> {
+    let workers = sim.workers.iter().enumerate();
+    let busy = workers.filter(|(_, row)| row.tasks().any(|task| task.job == id));
+    busy.map(|(worker, _)| worker).collect()
+}
+
+/// Lets the next boot of a worker carry out the first run of a task while its holder knows the second
+/// one there. The boot begins it `delay_ms` after its start.
+fn carry_out_beside_a_later_run(sim: &mut Sim, delay_ms: u64) {
+    let id = submit_held(sim, LONG, 3, 1_200);
+    let worker = sim.held_start_worker();
+    assert_eq!(workers_of(sim, id), [worker]);
+    sim.reboot_worker(worker);
+    sim.advance(delay_ms);
+    sim.deliver_held_start();
+    sim.advance(8_000);
+}
+
+simulation_tests! {
+    /// Guards against two runs at a time: a listed run was passed over for a later one of its task.
+    a_copy_begins_at_once_beside_a_later_run(TWO_DATA_CENTRES) => |sim| {
+        carry_out_beside_a_later_run(sim, 0);
+    };
+
+    /// Guards against two runs at a time: the same, 10 ms after the boot.
+    a_copy_begins_after_10_ms_beside_a_later_run(TWO_DATA_CENTRES) => |sim| {
+        carry_out_beside_a_later_run(sim, 10);
+    };
+
+    /// Guards against two runs at a time: the same, 40 ms after the boot.
+    a_copy_begins_after_40_ms_beside_a_later_run(TWO_DATA_CENTRES) => |sim| {
+        carry_out_beside_a_later_run(sim, 40);
+    };
+}
