starts in flight: others know of the first unanswered request, and an ended worker is fenced at once

Change: the first unanswered request is reported; a worker whose process has ended is polled every 50 ms under the new token whether or not a start is known to be in flight there, since a process that ended is no partition. A report that starts are ruled out says up to which token. A row that also stands for an earlier start is not forgotten with the answer to the later one (read, not shown).

--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -85,12 +85,14 @@
         /// Time since the start was sent.
         age: Duration,
     },
-    /// The present boot of the worker does not carry it out.
+    /// The present boot of the worker does not carry out any start up to this token.
     RuledOut {
         /// The task.
         task: TaskId,
         /// The worker.
         worker: WorkerId,
+        /// Highest fencing token of the starts that are ruled out.
+        token: FencingToken,
     },
 }
 
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -39,15 +39,12 @@
     if run.is_confirmed && run.start_requests == 1 {
         return;
     }
-    let is_repeated = run.start_requests > 1;
     let mut row = in_flight(world, now, worker, run, OpenCause::Unanswered);
     if is_stopped(run) {
         row.open = None;
     }
     world.starts_in_flight.record(worker, id.task, row);
-    if is_repeated {
-        report(world, now, worker, id.task);
-    }
+    report(world, now, worker, id.task);
 }
 
 fn in_flight(
@@ -64,6 +61,7 @@
         boot: world.workers.get(&worker).and_then(|row| row.boot),
         open: Some(cause),
         is_shared: false,
+        has_earlier: false,
     }
 }
 
@@ -112,7 +110,7 @@
     let rows: Vec<TaskId> = rows.map(|(task, _)| task).collect();
     for task in rows {
         let row = world.starts_in_flight.get(worker, task);
-        if row.is_some_and(|row| row.open == Some(OpenCause::Started)) {
+        if row.is_some_and(|row| row.open == Some(OpenCause::Started) && !row.has_earlier) {
             rule_out(world, now, worker, task, "lost with its worker");
             continue;
         }
@@ -218,11 +216,16 @@
     });
     log_ruled_out(world, now, worker, task, &row, how);
     if row.is_shared {
-        let report = StartReport::RuledOut { task, worker };
+        let token = row.token;
+        let report = StartReport::RuledOut {
+            task,
+            worker,
+            token,
+        };
         world.start_reports.push(report);
         add_origins(world, task.job);
     }
-    if row.open == Some(OpenCause::Started) {
+    if row.open == Some(OpenCause::Started) && !row.has_earlier {
         world.starts_in_flight.remove(worker, task);
     }
 }
@@ -364,10 +367,16 @@
                     world.starts_in_flight.record(worker, task, row);
                 }
             }
-            StartReport::RuledOut { task, worker } => {
+            StartReport::RuledOut {
+                task,
+                worker,
+                token,
+            } => {
                 world.starts_in_flight.update(worker, task, |row| {
-                    row.open = None;
-                    row.is_shared = false;
+                    if row.token <= token {
+                        row.open = None;
+                        row.is_shared = false;
+                    }
                 });
             }
         }
@@ -388,6 +397,7 @@
         boot: None,
         open,
         is_shared: open.is_some(),
+        has_earlier: false,
     }
 }
 
@@ -408,15 +418,17 @@
     }
 }
 
-/// Returns whether an unreachable worker is to be fenced as soon as it answers: this VM held it, and a
-/// start sent there may still be carried out. Not where another VM may hold it.
+/// Returns whether an unreachable worker is to be fenced as soon as it answers: this VM held it, and its
+/// process has ended, so that a start which this VM may not know of could be carried out by the next boot,
+/// or a start sent there may still be carried out. Not where another VM may hold it.
 pub fn must_fence(world: &World, worker: WorkerId) -> bool {
     let Some(row) = world.workers.get(&worker) else {
         return false;
     };
     let mut contested = world.contested_cells.iter();
-    row.loss.is_some()
-        && world.starts_in_flight.is_open_at(worker)
+    let has_start = || world.starts_in_flight.is_open_at(worker);
+    row.loss
+        .is_some_and(|loss| loss.end == WorkerEnd::Ended || has_start())
         && !contested.any(|cell| cell.contains(&row.entry))
 }
 
--- a/crates/core/src/guarded/tables/starts_in_flight.rs
+++ b/crates/core/src/guarded/tables/starts_in_flight.rs
@@ -63,6 +63,8 @@
     pub open: Option<OpenCause>,
     /// Whether other VMs know that it is open.
     pub is_shared: bool,
+    /// Whether it also stands for an earlier start.
+    pub has_earlier: bool,
 }
 
 impl StartInFlight {
@@ -73,6 +75,7 @@
         self.sent_at = self.sent_at.max(earlier.sent_at);
         self.boot = self.boot.or(earlier.boot);
         self.is_shared |= earlier.is_shared;
+        self.has_earlier |= earlier.has_earlier || earlier.number < self.number;
         if self.open == Some(OpenCause::Pending) && earlier.open.is_some() {
             self.open = earlier.open;
         }
--- a/src/guarded/wire/start.rs
+++ b/src/guarded/wire/start.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// `task`, kind of the report, worker, number of the run, token, age. The last three are 0 where the
-/// kind has none.
+/// `task`, kind of the report, worker, number of the run, token, age. The number and the age are 0
+/// where the kind has none.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct StartReportWire(TaskWire, u8, u64, u64, u64, u64);
 
@@ -43,7 +43,11 @@
                 token.0,
                 super::micros(age),
             ),
-            StartReport::RuledOut { task, worker } => Self(task.into(), 1, worker.0, 0, 0, 0),
+            StartReport::RuledOut {
+                task,
+                worker,
+                token,
+            } => Self(task.into(), 1, worker.0, 0, token.0, 0),
         }
     }
 }
@@ -64,7 +68,11 @@
                 token: FencingToken(token),
                 age: Duration::from_micros(age),
             },
-            1 => Self::RuledOut { task, worker },
+            1 => Self::RuledOut {
+                task,
+                worker,
+                token: FencingToken(token),
+            },
             2 => Self::Known {
                 task,
                 worker,
