--- a/crates/core/src/guarded/mod.rs
+++ b/crates/core/src/guarded/mod.rs
@@ -11,8 +11,10 @@
 //!
 //! # Guarantees
 //!
-//! * Two runs of a task never overlap: a task is started again only when the end of its earlier run
-//!   is known, or when the lease that could keep that run alive has certainly expired.
+//! * Two runs of a task do not overlap: a task is started again only when the end of its earlier run
+//!   is known, or when the lease that could keep that run alive has certainly expired, and while no
+//!   earlier start of it may still be carried out. The exceptions are in docs/PLATFORM.md: chiefly a
+//!   start that one boot of a worker ruled out and that the next one begins before it is fenced.
 //! * A run outlives the client, the entry or the runner of its job by at most
 //!   [`Policy::max_orphan_duration`], also if its stop has no effect.
 //! * A job is answered as completed only if each of its tasks succeeded.
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -238,8 +238,8 @@
     row: &StartInFlight,
     how: &'static str,
 ) {
-    let held_since = world.starts_in_flight.held.get(&task);
-    if held_since.is_none() && !row.is_shared {
+    let waiting_since = world.starts_in_flight.waiting.get(&task);
+    if waiting_since.is_none() && !row.is_shared {
         return;
     }
     let run = RunId {
@@ -252,7 +252,7 @@
         %worker,
         how,
         age_ms = now.since(row.sent_at).as_millis(),
-        held_ms = held_since.map(|&since| now.since(since).as_millis()),
+        waited_ms = waiting_since.map(|&since| now.since(since).as_millis()),
         "a start in flight is ruled out"
     );
 }
@@ -447,11 +447,11 @@
             log_ruled_out(world, cx.now, worker, task, &row, "too old");
         }
     }
-    release_tasks(world);
-    hold_tasks(world, cx.now);
-    let held = world.starts_in_flight.held.keys().map(|task| task.job);
-    let held: BTreeSet<ClientJobId> = held.collect();
-    for id in held {
+    forget_started(world);
+    record_waiting(world, cx.now);
+    let waiting = world.starts_in_flight.waiting.keys().map(|task| task.job);
+    let waiting: BTreeSet<ClientJobId> = waiting.collect();
+    for id in waiting {
         let job = world.jobs.get(&id);
         if job.is_some_and(|job| is_hopeless(world, cx.now, job)) {
             runner::end_job(world, cx, id, Answer::Lost(LossCause::StartInFlight));
@@ -460,19 +460,19 @@
 }
 
 /// Forgets the tasks that no longer wait.
-fn release_tasks(world: &mut World) {
-    let mut held = std::mem::take(&mut world.starts_in_flight.held);
-    held.retain(|&task, _| is_waiting(world, task));
-    world.starts_in_flight.held = held;
+fn forget_started(world: &mut World) {
+    let mut waiting = std::mem::take(&mut world.starts_in_flight.waiting);
+    waiting.retain(|&task, _| is_waiting(world, task));
+    world.starts_in_flight.waiting = waiting;
 }
 
 /// Notes the due tasks that begin to wait.
-fn hold_tasks(world: &mut World, now: Time) {
+fn record_waiting(world: &mut World, now: Time) {
     let tasks = world.starts_in_flight.open_tasks();
-    let new = tasks.filter(|task| !world.starts_in_flight.held.contains_key(task));
-    let new: Vec<TaskId> = new.filter(|&task| is_held(world, task)).collect();
+    let new = tasks.filter(|task| !world.starts_in_flight.waiting.contains_key(task));
+    let new: Vec<TaskId> = new.filter(|&task| is_held_back(world, task)).collect();
     for task in new {
-        world.starts_in_flight.held.insert(task, now);
+        world.starts_in_flight.waiting.insert(task, now);
         world.stats.jobs_held_by_start += 1;
         for &worker in world.starts_in_flight.open_workers(task) {
             let Some(row) = world.starts_in_flight.get(worker, task) else {
@@ -496,7 +496,7 @@
 }
 
 /// Returns whether a task would start if no start of it were in flight.
-fn is_held(world: &World, task: TaskId) -> bool {
+fn is_held_back(world: &World, task: TaskId) -> bool {
     is_waiting(world, task) && !world.present_runs.contains_key(&task)
 }
 
--- a/crates/core/src/guarded/tables/starts_in_flight.rs
+++ b/crates/core/src/guarded/tables/starts_in_flight.rs
@@ -91,7 +91,7 @@
     /// Workers with an open row, by task.
     open: FastMap<TaskId, Vec<WorkerId>>,
     /// Due tasks that wait, and since when.
-    pub held: FastMap<TaskId, Time>,
+    pub waiting: FastMap<TaskId, Time>,
 }
 
 impl StartsInFlight {
