--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -632,7 +632,7 @@
         Op::SubmitDeadly { vm: 2, tasks: 2, timeout_ms: 1769 },
     ];
 
-    /// The same after the holder and its peers were lost or stood still.
+    /// The same after the holder and its peers were lost or stalled.
     a_late_start_reaches_a_new_boot_after_its_holder_is_lost(4853856769859874117) => [
         Op::LoseReplies(28),
         Op::DelayRequests(31),
@@ -660,7 +660,7 @@
         Op::Advance(449),
     ];
 
-    /// A VM that had stood still told others that a start was ruled out, after the worker's next loss.
+    /// A VM that had stalled told others that a start was ruled out, after the worker's next loss.
     a_late_start_reaches_a_new_boot_after_a_peer_stood_still(18_009_148_844_672_900_136) => [
         Op::CrashWorker(2),
         Op::Submit { vm: 2, tasks: 4, work_ms: 238 },
