--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -38,7 +38,7 @@
     let id = "5c0e7a21d94b36f8";
     let (name, address) = (fleet.vms[0].name.clone(), fleet.vms[0].callers);
     let client = std::thread::spawn(move || {
-        let job = job(&[(2, 1_500), (2, 1_500), (2, 1_500), (2, 1_500)]);
+        let job = job(&[(2, 1_200); 6]);
         submit(&name, address, id, &job, Duration::from_secs(10))
     });
     std::thread::sleep(Duration::from_millis(700));
@@ -111,7 +111,7 @@
     let id = "5c0e7a21d94b36f8";
     let (name, address) = (fleet.vms[0].name.clone(), fleet.vms[0].callers);
     let client = std::thread::spawn(move || {
-        let job = job(&[(2, 1_500), (2, 1_500), (2, 1_500), (2, 1_500)]);
+        let job = job(&[(2, 1_200); 6]);
         submit(&name, address, id, &job, Duration::from_secs(10))
     });
     std::thread::sleep(Duration::from_millis(500));
