--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -141,6 +141,34 @@
     Some(outlives_cancel(&fleet.records(), id, acked_ms))
 }
 
+/// A client cancels its job. Seconds after its submission was answered with 2xx, a copy of it arrives at
+/// another node.
+pub fn late_copy_of_a_cancelled_job(trouble: bool) -> Option<bool> {
+    let vms = ["sutherland", "sutherland", "laingsburg", "laingsburg"];
+    let workers = ["sutherland", "sutherland", "laingsburg", "laingsburg"];
+    let fleet = Fleet::start(&vms, &workers, Server::default())?;
+    let id = "5c0e7a21d94b36f8";
+    let (name, address) = (fleet.vms[0].name.clone(), fleet.vms[0].callers);
+    let client = std::thread::spawn(move || {
+        submit(&name, address, id, &job(&[(2, 900)]), Duration::from_secs(3))
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    if fleet.running() == 0 {
+        return None;
+    }
+    let status = fleet.cancel(0, id)?;
+    let acked_ms = now_ms();
+    let (answer, _) = client.join().ok().flatten()?;
+    if !(200..300).contains(&status) || !(200..300).contains(&answer) {
+        return None;
+    }
+    std::thread::sleep(Duration::from_millis(4_000));
+    if trouble {
+        fleet.submit(2, id, &job(&[(2, 900)]), Duration::from_secs(3));
+    }
+    Some(outlives_cancel(&fleet.records(), id, acked_ms))
+}
+
 /// Returns whether two runs of a task were in progress at the same time.
 fn runs_twice(records: &[RunRecord]) -> bool {
     let mut broken = false;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -23,6 +23,7 @@
         "cancel-zone" => cases::cancel_in_another_zone(trouble),
         "cancel-restart" => cases::cancel_at_a_restarted_vm(trouble),
         "cancel-frozen" => cases::cancel_at_a_frozen_vm(trouble),
+        "late-copy" => cases::late_copy_of_a_cancelled_job(trouble),
         "refused" => cases::refused_after_a_close(trouble),
         _ => None,
     };
