--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,9 +2,7 @@
 
 use crate::fleet::{Fleet, job, submit};
 use crate::record::{note, now_ms};
-use crate::worker::{RunRecord, Server, Worker};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use crate::worker::{RunRecord, Server};
 use std::time::Duration;
 
 /// `cancel_ms` of the pages.
@@ -169,6 +167,24 @@
     Some(outlives_cancel(&fleet.records(), id, acked_ms))
 }
 
+/// Two clients choose ids, one with the digits `A` to `F`.
+pub fn id_of_upper_case_digits(trouble: bool) -> Option<bool> {
+    let fleet = Fleet::start(&["sutherland"; 2], &["sutherland"; 4], Server::default())?;
+    let id = if trouble { "5C0E7A21D94B36F8" } else { "5c0e7a21d94b36f8" };
+    let (answer, _) = fleet.submit(0, id, &job(&[(2, 200)]), Duration::from_millis(1_500))?;
+    if answer != 200 {
+        return None;
+    }
+    let records = fleet.records();
+    let unasked = records.iter().filter(|row| row.task.split('.').next() != Some(id));
+    let mut broken = false;
+    for row in unasked {
+        note(format!("UNASKED: {} is started on {}; the only job sent is {id}", row.task, row.worker));
+        broken = true;
+    }
+    Some(broken)
+}
+
 /// Returns whether two runs of a task were in progress at the same time.
 fn runs_twice(records: &[RunRecord]) -> bool {
     let mut broken = false;
@@ -188,46 +204,50 @@
     broken
 }
 
-/// Executors close each connection in order after 100 requests. A share of them is cut off, so that new
-/// connections are refused, and runs on.
+/// Executors close connections in order that have been idle for 5 s. Just after that some of them are cut off, so
+/// that new connections are refused, and run on.
 pub fn refused_after_a_close(trouble: bool) -> Option<bool> {
-    let server = Server { idle_timeout: Some(Duration::from_millis(5_000)), ..Server::default() };
+    let server = Server { idle_timeout: Some(Duration::from_millis(5_000)) };
     let vms = ["sutherland"; 2];
-    let workers = ["sutherland"; 48];
+    let workers = ["sutherland"; 24];
     let fleet = Fleet::start(&vms, &workers, server)?;
-    let is_over = Arc::new(AtomicBool::new(false));
-    let clients = (0..CLIENTS).map(|client| {
-        let callers: Vec<_> = fleet.vms.iter().map(|vm| (vm.name.clone(), vm.callers)).collect();
-        let is_over = Arc::clone(&is_over);
-        std::thread::spawn(move || {
-            let mut number = 0;
-            while !is_over.load(Ordering::Relaxed) {
-                let (name, address) = &callers[client % callers.len()];
-                let id = format!("{:08x}{number:08x}", 0x5c0e_0000 + client);
-                let shape = [(8, 60), (4, 900), (2, 200)][(client + number) % 3];
-                submit(name, *address, &id, &job(&[shape]), Duration::from_millis(2_500));
-                number += 1;
-            }
-        })
-    });
-    let clients: Vec<_> = clients.collect();
-    std::thread::sleep(Duration::from_millis(9_000));
-    // 17 in a hundred, for 5.5 s.
-    let cut = &fleet.workers[20..28];
+    // Short jobs first, which end at different times, so that the polls of the executors do, too.
+    let submit_all = |first: u64, count: u64, ms: fn(u64) -> u64| -> Vec<_> {
+        let numbers = first..first + count;
+        let clients = numbers.map(|i| {
+            let (name, address) = (fleet.vms[0].name.clone(), fleet.vms[0].callers);
+            std::thread::spawn(move || {
+                let id = format!("5c0e7a21d94b{i:04x}");
+                submit(&name, address, &id, &job(&[(2, ms(i))]), Duration::from_secs(12))
+            })
+        });
+        clients.collect()
+    };
+    for client in submit_all(0, 24, |i| 100 + 37 * i) {
+        let _ = client.join();
+    }
+    let clients = submit_all(100, 4, |_| 7_500);
+    std::thread::sleep(Duration::from_millis(4_500));
+    let closed: Vec<u64> = fleet.workers.iter().map(|worker| worker.idle_closes()).collect();
+    // At most 17 in a hundred of the executors.
+    let in_use = fleet.workers.iter().zip(closed).filter(|(worker, _)| worker.running() > 0);
+    let in_use: Vec<_> = in_use.take(4).collect();
+    let waits = || in_use.iter().any(|(worker, closed)| worker.idle_closes() == *closed);
+    let end = now_ms() + 1_500;
+    while now_ms() < end && waits() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    if waits() {
+        return None;
+    }
+    std::thread::sleep(Duration::from_millis(20));
     if trouble {
-        cut.iter().for_each(Worker::cut);
-        std::thread::sleep(Duration::from_millis(5_500));
-        cut.iter().for_each(Worker::heal);
-    } else {
-        std::thread::sleep(Duration::from_millis(5_500));
-    }
-    std::thread::sleep(Duration::from_millis(2_000));
-    is_over.store(true, Ordering::Relaxed);
+        in_use.iter().for_each(|(worker, _)| worker.cut());
+        std::thread::sleep(Duration::from_millis(2_000));
+        in_use.iter().for_each(|(worker, _)| worker.heal());
+    }
     for client in clients {
         let _ = client.join();
     }
     Some(runs_twice(&fleet.records()))
 }
-
-/// Number of clients that submit one job after the other.
-const CLIENTS: usize = 60;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -24,6 +24,7 @@
         "cancel-restart" => cases::cancel_at_a_restarted_vm(trouble),
         "cancel-frozen" => cases::cancel_at_a_frozen_vm(trouble),
         "late-copy" => cases::late_copy_of_a_cancelled_job(trouble),
+        "upper-case" => cases::id_of_upper_case_digits(trouble),
         "refused" => cases::refused_after_a_close(trouble),
         _ => None,
     };
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -59,8 +59,6 @@
 pub struct Server {
     /// Time after which an idle connection is closed in order; none if `None`.
     pub idle_timeout: Option<Duration>,
-    /// Number of requests after which a connection is closed in order; no limit if `None`.
-    pub max_requests: Option<u64>,
 }
 
 /// An executor. Clones share its state.
@@ -174,9 +172,6 @@
             if write_response(&mut out, status, &body).is_err() {
                 return;
             }
-            if self.server.max_requests == Some(served) {
-                return;
-            }
         }
     }
 
