--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -24,7 +24,8 @@
         "cancel-restart" => cases::cancel_at_a_restarted_vm(trouble),
         "cancel-frozen" => cases::cancel_at_a_frozen_vm(trouble),
         "late-copy" => cases::late_copy_of_a_cancelled_job(trouble),
-        "upper-case" => cases::id_of_upper_case_digits(trouble),
+        "late-start-killed" => cases::late_start_of_a_killed_holder(trouble),
+        "late-start" => cases::late_start_after_a_crash(trouble),
         "refused" => cases::refused_after_a_close(trouble),
         _ => None,
     };
