--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -17,7 +17,9 @@
     let limit = acked_ms + CANCEL_MS;
     let mut broken = false;
     for row in records.iter().filter(|row| row.task.starts_with(id)) {
-        let runs_on = row.ended_ms.is_none_or(|ended| ended > limit + STOP_GRACE_MS);
+        let runs_on = row
+            .ended_ms
+            .is_none_or(|ended| ended > limit + STOP_GRACE_MS);
         if row.began_ms > limit || runs_on {
             note(format!(
                 "UNASKED: run {} of {} on {} from {} to {:?}, cancelled and acknowledged at {acked_ms}",
@@ -98,7 +100,9 @@
         let _ = client.join();
     }
     let records = fleet.records();
-    let broken = acked.iter().map(|(id, at)| outlives_cancel(&records, id, *at));
+    let broken = acked
+        .iter()
+        .map(|(id, at)| outlives_cancel(&records, id, *at));
     Some(broken.fold(false, |all, one| all | one))
 }
 
@@ -149,7 +153,13 @@
     let id = "5c0e7a21d94b36f8";
     let (name, address) = (fleet.vms[0].name.clone(), fleet.vms[0].callers);
     let client = std::thread::spawn(move || {
-        submit(&name, address, id, &job(&[(2, 900)]), Duration::from_secs(3))
+        submit(
+            &name,
+            address,
+            id,
+            &job(&[(2, 900)]),
+            Duration::from_secs(3),
+        )
     });
     std::thread::sleep(Duration::from_millis(300));
     if fleet.running() == 0 {
@@ -177,8 +187,14 @@
             if first.task == second.task && overlaps {
                 note(format!(
                     "TWICE: {} as run {} on {} from {} to {:?}, and as run {} on {} from {}",
-                    first.task, first.run, first.worker, first.began_ms, first.ended_ms,
-                    second.run, second.worker, second.began_ms
+                    first.task,
+                    first.run,
+                    first.worker,
+                    first.began_ms,
+                    first.ended_ms,
+                    second.run,
+                    second.worker,
+                    second.began_ms
                 ));
                 broken = true;
             }
@@ -190,7 +206,9 @@
 /// Executors close connections in order that have been idle for 5 s. Just after that some of them are cut off, so
 /// that new connections are refused, and run on.
 pub fn refused_after_a_close(trouble: bool) -> Option<bool> {
-    let server = Server { idle_timeout: Some(Duration::from_millis(5_000)) };
+    let server = Server {
+        idle_timeout: Some(Duration::from_millis(5_000)),
+    };
     let vms = ["sutherland"; 2];
     let workers = ["sutherland"; 24];
     let fleet = Fleet::start(&vms, &workers, server)?;
@@ -201,7 +219,13 @@
             let (name, address) = (fleet.vms[0].name.clone(), fleet.vms[0].callers);
             std::thread::spawn(move || {
                 let id = format!("5c0e7a21d94b{i:04x}");
-                submit(&name, address, &id, &job(&[(2, ms(i))]), Duration::from_secs(12))
+                submit(
+                    &name,
+                    address,
+                    &id,
+                    &job(&[(2, ms(i))]),
+                    Duration::from_secs(12),
+                )
             })
         });
         clients.collect()
@@ -211,11 +235,23 @@
     }
     let clients = submit_all(100, 4, |_| 7_500);
     std::thread::sleep(Duration::from_millis(4_500));
-    let closed: Vec<u64> = fleet.workers.iter().map(|worker| worker.idle_closes()).collect();
+    let closed: Vec<u64> = fleet
+        .workers
+        .iter()
+        .map(|worker| worker.idle_closes())
+        .collect();
     // At most 17 in a hundred of the executors.
-    let in_use = fleet.workers.iter().zip(closed).filter(|(worker, _)| worker.running() > 0);
+    let in_use = fleet
+        .workers
+        .iter()
+        .zip(closed)
+        .filter(|(worker, _)| worker.running() > 0);
     let in_use: Vec<_> = in_use.take(4).collect();
-    let waits = || in_use.iter().any(|(worker, closed)| worker.idle_closes() == *closed);
+    let waits = || {
+        in_use
+            .iter()
+            .any(|(worker, closed)| worker.idle_closes() == *closed)
+    };
     let end = now_ms() + 1_500;
     while now_ms() < end && waits() {
         std::thread::sleep(Duration::from_millis(5));
@@ -245,12 +281,17 @@
         let jobs = ids.map(|i| {
             let (name, address) = (fleet.vms[vm].name.clone(), fleet.vms[vm].callers);
             let (id, shape) = (id(i), shape.clone());
-            std::thread::spawn(move || submit(&name, address, &id, &shape, Duration::from_millis(limit)))
+            std::thread::spawn(move || {
+                submit(&name, address, &id, &shape, Duration::from_millis(limit))
+            })
         });
         jobs.collect()
     };
     if trouble {
-        fleet.workers.iter().for_each(|worker| worker.withhold_start());
+        fleet
+            .workers
+            .iter()
+            .for_each(|worker| worker.withhold_start());
     }
     for client in submit_all(0, 0..2, 700) {
         let _ = client.join();
@@ -266,7 +307,9 @@
         let records = fleet.records();
         let runs_elsewhere = |worker: &&Worker| {
             let task = worker.withheld();
-            let runs = records.iter().filter(|row| row.ended_ms.is_none() && Some(&row.task) == task.as_ref());
+            let runs = records
+                .iter()
+                .filter(|row| row.ended_ms.is_none() && Some(&row.task) == task.as_ref());
             let mut others = runs.filter(|row| row.worker != worker.id);
             others.next().is_some()
         };
@@ -288,12 +331,17 @@
         let jobs = (0..2).map(|i| {
             let (name, address) = (fleet.vms[vm].name.clone(), fleet.vms[vm].callers);
             let (id, shape) = (format!("5c0e7a21d94b36f{i}"), shape.clone());
-            std::thread::spawn(move || submit(&name, address, &id, &shape, Duration::from_millis(limit)))
+            std::thread::spawn(move || {
+                submit(&name, address, &id, &shape, Duration::from_millis(limit))
+            })
         });
         jobs.collect()
     };
     if trouble {
-        fleet.workers.iter().for_each(|worker| worker.withhold_start());
+        fleet
+            .workers
+            .iter()
+            .for_each(|worker| worker.withhold_start());
     }
     let clients = submit_all(&fleet, holder, 700);
     if trouble {
@@ -311,7 +359,9 @@
         let records = fleet.records();
         let runs_elsewhere = |worker: &&Worker| {
             let task = worker.withheld();
-            let runs = records.iter().filter(|row| row.ended_ms.is_none() && Some(&row.task) == task.as_ref());
+            let runs = records
+                .iter()
+                .filter(|row| row.ended_ms.is_none() && Some(&row.task) == task.as_ref());
             let mut others = runs.filter(|row| row.worker != worker.id);
             others.next().is_some()
         };
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -37,7 +37,9 @@
     let listeners: Vec<TcpListener> = (0..count)
         .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
         .collect();
-    let addresses = listeners.iter().map(|listener| listener.local_addr().expect("an address"));
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address"));
     addresses.collect()
 }
 
@@ -45,7 +47,8 @@
     /// Starts a daemon for each zone in `vms` and an executor for each in `workers`, and waits until
     /// all are in use.
     pub fn start(vms: &[&str], workers: &[&str], server: Server) -> Option<Self> {
-        let folder = std::env::temp_dir().join(format!("cardamomslip-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("cardamomslip-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let store = Store::start();
         store.put("op/config", &format!(
@@ -57,7 +60,12 @@
             worker
         });
         let workers = started.collect();
-        let mut fleet = Self { store, vms: Vec::new(), workers, folder };
+        let mut fleet = Self {
+            store,
+            vms: Vec::new(),
+            workers,
+            folder,
+        };
         for (i, zone) in vms.iter().enumerate() {
             let vm = fleet.prepare(&format!("frontend-{zone}-{i}"), zone);
             fleet.vms.push(vm);
@@ -98,7 +106,10 @@
     /// Starts the daemon of a VM with the command of the deploy file.
     pub fn launch(&mut self, number: usize) {
         let vm = &mut self.vms[number];
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&vm.log);
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&vm.log);
         let child = Command::new("target/release/cardamomslip-entryd")
             .arg("--config")
             .arg(&vm.settings)
@@ -113,7 +124,14 @@
 
     pub fn is_ready(&self, number: usize) -> bool {
         let host = format!("Host: {}\r\n", self.vms[number].ready);
-        let answer = call(self.vms[number].ready, "GET", "/readyz", &host, "", Duration::from_secs(1));
+        let answer = call(
+            self.vms[number].ready,
+            "GET",
+            "/readyz",
+            &host,
+            "",
+            Duration::from_secs(1),
+        );
         answer.is_some_and(|(status, _)| status == 200)
     }
 
@@ -121,8 +139,17 @@
     pub fn held_workers(&self, number: usize) -> Option<u64> {
         let address = self.vms[number].metrics;
         let host = format!("Host: {address}\r\n");
-        let (_, text) = call(address, "GET", "/metrics", &host, "", Duration::from_secs(1))?;
-        let line = text.lines().find_map(|line| line.strip_prefix("cardamomslip_held_workers "));
+        let (_, text) = call(
+            address,
+            "GET",
+            "/metrics",
+            &host,
+            "",
+            Duration::from_secs(1),
+        )?;
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix("cardamomslip_held_workers "));
         line?.trim().parse().ok()
     }
 
@@ -142,7 +169,10 @@
         note(format!("{} gets SIG{signal}", vm.name));
         if let Some(child) = &vm.child {
             let pid = child.id().to_string();
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(pid).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(pid)
+                .status();
         }
     }
 
@@ -158,8 +188,20 @@
     }
 
     /// Submits a job and waits for its answer. Returns the status and the body.
-    pub fn submit(&self, vm: usize, id: &str, job: &str, client_timeout: Duration) -> Option<(u16, String)> {
-        submit(&self.vms[vm].name, self.vms[vm].callers, id, job, client_timeout)
+    pub fn submit(
+        &self,
+        vm: usize,
+        id: &str,
+        job: &str,
+        client_timeout: Duration,
+    ) -> Option<(u16, String)> {
+        submit(
+            &self.vms[vm].name,
+            self.vms[vm].callers,
+            id,
+            job,
+            client_timeout,
+        )
     }
 
     /// Cancels a job. Returns the status.
@@ -167,7 +209,14 @@
         let vm = &self.vms[vm];
         let path = format!("{PREFIX}{id}");
         let host = format!("Host: {HOST}\r\n");
-        let answer = call(vm.callers, "DELETE", &path, &host, "", Duration::from_secs(4));
+        let answer = call(
+            vm.callers,
+            "DELETE",
+            &path,
+            &host,
+            "",
+            Duration::from_secs(4),
+        );
         let status = answer.map(|(status, _)| status);
         note(format!("DELETE {id} at {}: {status:?}", vm.name));
         status
@@ -184,7 +233,10 @@
 ) -> Option<(u16, String)> {
     note(format!("POST {id} to {name}: {job}"));
     let path = format!("{PREFIX}{id}");
-    let headers = format!("Host: {HOST}\r\nX-Deadline-Ms: {}\r\n", client_timeout.as_millis());
+    let headers = format!(
+        "Host: {HOST}\r\nX-Deadline-Ms: {}\r\n",
+        client_timeout.as_millis()
+    );
     let answer = call(address, "POST", &path, &headers, job, client_timeout);
     note(format!("POST {id} to {name} is answered: {answer:?}"));
     answer
@@ -194,13 +246,18 @@
 pub fn job(steps: &[(u32, u64)]) -> String {
     let times: Vec<String> = steps.iter().map(|(_, ms)| ms.to_string()).collect();
     let steps = steps.iter().enumerate().map(|(i, (count, ms))| {
-        let after = if i == 0 { String::new() } else { format!(",\"After\":[{}]", i - 1) };
+        let after = if i == 0 {
+            String::new()
+        } else {
+            format!(",\"After\":[{}]", i - 1)
+        };
         format!("{{\"Count\":{count},\"Cpu\":6800,\"MemMb\":64,\"EstimateMs\":{ms}{after}}}")
     });
     let steps: Vec<String> = steps.collect();
     format!(
         "{{\"Spec\":\"ms={}\",\"Steps\":[{}],\"BestEffort\":true}}",
-        times.join(","), steps.join(",")
+        times.join(","),
+        steps.join(",")
     )
 }
 
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -23,13 +23,21 @@
 
     /// Returns a query parameter with its percent-encoding undone.
     pub fn query(&self, name: &str) -> String {
-        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
-        let raw = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next();
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        let raw = pairs
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+            .next();
         let bytes = raw.unwrap_or_default().as_bytes();
         let mut out = Vec::new();
         let mut i = 0;
         while i < bytes.len() {
-            let hex = (bytes[i] == b'%').then(|| bytes.get(i + 1..i + 3)).flatten();
+            let hex = (bytes[i] == b'%')
+                .then(|| bytes.get(i + 1..i + 3))
+                .flatten();
             let hex = hex.and_then(|hex| std::str::from_utf8(hex).ok());
             if let Some(byte) = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
                 out.push(byte);
@@ -90,14 +98,19 @@
 }
 
 /// Serves connections until the process ends.
-pub fn serve(listener: TcpListener, handle: impl Fn(Request) -> (u16, String) + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handle: impl Fn(Request) -> (u16, String) + Send + Sync + 'static,
+) {
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handle = Arc::clone(&handle);
             std::thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(mut out) = stream.try_clone() else { return };
+                let Ok(mut out) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(stream);
                 while let Some(req) = read_request(&mut reader) {
                     let (status, body) = handle(req);
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(String),
     Text(String),
     List(Vec<Json>),
@@ -131,8 +131,8 @@
             }
         }
         b'"' => string(bytes, at).map(Json::Text),
-        b't' => literal(bytes, at, "true", Json::Bool(true)),
-        b'f' => literal(bytes, at, "false", Json::Bool(false)),
+        b't' => literal(bytes, at, "true", Json::Bool),
+        b'f' => literal(bytes, at, "false", Json::Bool),
         b'n' => literal(bytes, at, "null", Json::Null),
         _ => {
             let from = *at;
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -36,16 +36,29 @@
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.history.push(Change { key: key.to_owned(), revision, item: Some(item) });
+        self.history.push(Change {
+            key: key.to_owned(),
+            revision,
+            item: Some(item),
+        });
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
             let revision = self.revision;
-            self.history.push(Change { key: key.to_owned(), revision, item: None });
+            self.history.push(Change {
+                key: key.to_owned(),
+                revision,
+                item: None,
+            });
         }
     }
 
@@ -83,7 +96,11 @@
 fn item_json(key: &str, item: &Item) -> String {
     format!(
         "{{\"Key\":{},\"Value\":{},\"Revision\":{},\"Created\":{},\"Lease\":{}}}",
-        quote(key), quote(&item.value), item.revision, item.created, item.lease
+        quote(key),
+        quote(&item.value),
+        item.revision,
+        item.created,
+        item.lease
     )
 }
 
@@ -91,15 +108,23 @@
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let state = Arc::new((Mutex::new(State { revision: 1, ..State::default() }), Condvar::new()));
+        let state = Arc::new((
+            Mutex::new(State {
+                revision: 1,
+                ..State::default()
+            }),
+            Condvar::new(),
+        ));
         let store = Self { address, state };
         let served = store.clone();
         serve(listener, move |req| served.handle(&req));
         let expiring = store.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(50));
-            if expiring.state.0.lock().unwrap().end_leases() {
-                expiring.state.1.notify_all();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(50));
+                if expiring.state.0.lock().unwrap().end_leases() {
+                    expiring.state.1.notify_all();
+                }
             }
         });
         store
@@ -107,7 +132,11 @@
 
     /// Writes a key, as the operator or a worker would.
     pub fn put(&self, key: &str, value: &str) {
-        self.state.0.lock().unwrap().put(key, base64(value.as_bytes()), 0);
+        self.state
+            .0
+            .lock()
+            .unwrap()
+            .put(key, base64(value.as_bytes()), 0);
         self.state.1.notify_all();
     }
 
@@ -144,7 +173,8 @@
         let rows: Vec<String> = rows.map(|(key, item)| item_json(key, item)).collect();
         let body = format!(
             "{{\"items\":[{}],\"HasMore\":false,\"AsOf\":{}}}",
-            rows.join(","), state.revision
+            rows.join(","),
+            state.revision
         );
         (200, body)
     }
@@ -157,19 +187,25 @@
         let mut state = self.state.0.lock().unwrap();
         loop {
             let changes = state.history.iter();
-            let changes = changes.filter(|row| row.revision > after && row.key.starts_with(&prefix));
+            let changes =
+                changes.filter(|row| row.revision > after && row.key.starts_with(&prefix));
             let events: Vec<String> = changes
                 .map(|row| match &row.item {
                     Some(item) => item_json(&row.key, item),
                     None => format!(
                         "{{\"Key\":{},\"Revision\":{},\"Removed\":true}}",
-                        quote(&row.key), row.revision
+                        quote(&row.key),
+                        row.revision
                     ),
                 })
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                let body = format!("{{\"events\":[{}],\"AsOf\":{}}}", events.join(","), state.revision);
+                let body = format!(
+                    "{{\"events\":[{}],\"AsOf\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
                 return (200, body);
             }
             state = self.state.1.wait_timeout(state, end - now).unwrap().0;
@@ -179,7 +215,10 @@
     fn transact(&self, body: &Json) -> (u16, String) {
         let mut state = self.state.0.lock().unwrap();
         let holds = body.get("Expected").list().iter().all(|row| {
-            let revision = state.items.get(row.get("Key").text()).map_or(0, |item| item.revision);
+            let revision = state
+                .items
+                .get(row.get("Key").text())
+                .map_or(0, |item| item.revision);
             row.get("Revision").u64() == Some(revision)
         });
         if !holds {
@@ -187,12 +226,19 @@
         }
         let puts = body.get("Puts").list();
         let leases = puts.iter().map(|put| put.get("Lease").u64().unwrap_or(0));
-        if leases.into_iter().any(|lease| lease != 0 && !state.leases.contains_key(&lease)) {
+        if leases
+            .into_iter()
+            .any(|lease| lease != 0 && !state.leases.contains_key(&lease))
+        {
             return (404, "{}".to_owned());
         }
         for put in puts {
             let lease = put.get("Lease").u64().unwrap_or(0);
-            state.put(put.get("Key").text(), put.get("Value").text().to_owned(), lease);
+            state.put(
+                put.get("Key").text(),
+                put.get("Value").text().to_owned(),
+                lease,
+            );
         }
         for key in body.get("Remove").list() {
             state.remove(key.text());
@@ -215,7 +261,10 @@
 
     fn keep(&self, number: &str) -> (u16, String) {
         let mut state = self.state.0.lock().unwrap();
-        let row = number.parse().ok().and_then(|lease: u64| state.leases.get_mut(&lease));
+        let row = number
+            .parse()
+            .ok()
+            .and_then(|lease: u64| state.leases.get_mut(&lease));
         let Some((ttl, until)) = row else {
             return (404, "{}".to_owned());
         };
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -98,9 +98,11 @@
         };
         worker.listen(listener);
         let ticking = worker.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(2));
-            ticking.tick();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(2));
+                ticking.tick();
+            }
         });
         worker
     }
@@ -109,7 +111,11 @@
     pub fn entry(&self, service: &str) -> String {
         format!(
             "{{\"Service\":{},\"Addr\":\"{}\",\"Zone\":{},\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\"Capacity\":{{\"Cpu\":16000,\"MemMb\":65536,\"Gpu\":0}},\"Labels\":[\"a\",\"r1-1\"],\"ClockMs\":{},\"Seq\":1,\"born\":{}}}",
-            quote(service), self.address, quote(&self.zone), self.clock_ms(), self.born_ms.load(Ordering::Relaxed)
+            quote(service),
+            self.address,
+            quote(&self.zone),
+            self.clock_ms(),
+            self.born_ms.load(Ordering::Relaxed)
         )
     }
 
@@ -134,7 +140,10 @@
         drop(state);
         // Wakes the accepting thread, which then closes the listener.
         drop(TcpStream::connect(self.address));
-        note(format!("{} is cut off: new connections are refused", self.id));
+        note(format!(
+            "{} is cut off: new connections are refused",
+            self.id
+        ));
     }
 
     /// Ends the cut.
@@ -190,7 +199,10 @@
         self.state.1.notify_all();
         if let Some(req) = withheld {
             let (status, body) = self.handle(&req);
-            note(format!("{} carries out an order late: {} answers {status} {body}", self.id, req.body));
+            note(format!(
+                "{} carries out an order late: {} answers {status} {body}",
+                self.id, req.body
+            ));
         }
         self.listen(listener);
     }
@@ -213,7 +225,9 @@
         let generation = self.state.0.lock().unwrap().crashes;
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(self.server.idle_timeout);
-        let Ok(mut out) = stream.try_clone() else { return };
+        let Ok(mut out) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         let mut served = 0;
         loop {
@@ -221,7 +235,10 @@
                 self.wait_uncut();
                 if self.server.idle_timeout.is_some() {
                     self.state.0.lock().unwrap().idle_closes += 1;
-                    note(format!("{} ends a connection in order after {served} requests", self.id));
+                    note(format!(
+                        "{} ends a connection in order after {served} requests",
+                        self.id
+                    ));
                 }
                 return;
             };
@@ -255,7 +272,10 @@
         if req.path != "/run-start" || !std::mem::take(&mut state.is_late) {
             return false;
         }
-        note(format!("{} leaves an order unanswered: {}", self.id, req.body));
+        note(format!(
+            "{} leaves an order unanswered: {}",
+            self.id, req.body
+        ));
         state.withheld = Some(req.clone());
         true
     }
@@ -297,10 +317,17 @@
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(row) = state.running.remove(task) else { return };
+        let Some(row) = state.running.remove(task) else {
+            return;
+        };
         state.ends += 1;
         let number = state.ends;
-        state.finished.push(Finished { number, task: task.to_owned(), run: row.run, how });
+        state.finished.push(Finished {
+            number,
+            task: task.to_owned(),
+            run: row.run,
+            how,
+        });
         let closed = state.closed.entry(task.to_owned()).or_default();
         *closed = row.run.max(*closed);
         let record = &mut state.records[row.record];
@@ -333,7 +360,13 @@
     }
 
     fn refuse(&self, reason: &str) -> (u16, String) {
-        (409, format!("{{\"ClockMs\":{},\"Reason\":\"{reason}\"}}", self.clock_ms()))
+        (
+            409,
+            format!(
+                "{{\"ClockMs\":{},\"Reason\":\"{reason}\"}}",
+                self.clock_ms()
+            ),
+        )
     }
 
     fn accepted(&self) -> (u16, String) {
@@ -355,7 +388,9 @@
             self.extend_lease(&mut state, body);
             return self.accepted();
         }
-        if state.closed.get(task).is_some_and(|closed| run <= *closed) || state.running.contains_key(task) {
+        if state.closed.get(task).is_some_and(|closed| run <= *closed)
+            || state.running.contains_key(task)
+        {
             self.extend_lease(&mut state, body);
             return self.refuse("old");
         }
@@ -377,7 +412,15 @@
             how: "",
         });
         let work = work_of(spec, task);
-        state.running.insert(task.to_owned(), Running { run, work, began: Instant::now(), record });
+        state.running.insert(
+            task.to_owned(),
+            Running {
+                run,
+                work,
+                began: Instant::now(),
+                record,
+            },
+        );
         note(format!("{}: run {run} of {task} begins", self.id));
         self.accepted()
     }
@@ -419,12 +462,21 @@
         });
         let running: Vec<String> = running.collect();
         let finished = state.finished.iter().take(500).map(|row| {
-            format!("[{},{},{},\"{}\",\"\"]", row.number, quote(&row.task), row.run, row.how)
+            format!(
+                "[{},{},{},\"{}\",\"\"]",
+                row.number,
+                quote(&row.task),
+                row.run,
+                row.how
+            )
         });
         let finished: Vec<String> = finished.collect();
         let body = format!(
             "{{\"ClockMs\":{},\"born\":{},\"RunningCount\":[{}],\"Finished\":[{}]}}",
-            self.clock_ms(), self.born_ms.load(Ordering::Relaxed), running.join(","), finished.join(",")
+            self.clock_ms(),
+            self.born_ms.load(Ordering::Relaxed),
+            running.join(","),
+            finished.join(",")
         );
         (200, body)
     }
@@ -437,7 +489,11 @@
 
 /// Returns the run time of a task, from the `Spec` of its job and the step in its name.
 fn work_of(spec: &str, task: &str) -> Duration {
-    let step: usize = task.split('.').nth(2).and_then(|step| step.parse().ok()).unwrap_or(0);
+    let step: usize = task
+        .split('.')
+        .nth(2)
+        .and_then(|step| step.parse().ok())
+        .unwrap_or(0);
     let times = spec.split_once("ms=").map_or("", |(_, times)| times);
     let times = times.split(' ').next().unwrap_or_default().split(',');
     let times: Vec<u64> = times.filter_map(|ms| ms.parse().ok()).collect();
