--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -47,14 +47,18 @@
     let vms = [ZONES[0], ZONES[0], ZONES[1], ZONES[1]];
     let lab = Lab::start(folder, &two_zones(), &vms)?;
     let patience = Duration::from_secs(20);
-    let steps = chain(9, 1_000, TASK_CPU);
+    let steps = chain(10, 1_000, TASK_CPU);
     let answer = lab.submit(0, ID, &steps, &spec(1_000, TASK_CPU), patience);
     if !lab.wait_running(ID, 1, Duration::from_secs(2)) {
         return Err("the job did not start".to_owned());
     }
     std::thread::sleep(Duration::from_millis(500));
     // New channels of the client go to the zone where it is now.
-    let ack = lab.cancel(if trouble { 2 } else { 1 }, ID);
+    let vm = if trouble { 2 } else { 1 };
+    lab.cancel(vm, ID);
+    // Its job is still unanswered, so it asks once more.
+    std::thread::sleep(Duration::from_millis(500));
+    let ack = lab.cancel(vm, ID);
     let answered = answer.recv_timeout(patience + Duration::from_secs(1));
     let answered = answered.map_err(|e| e.to_string())?;
     lab.record
