Evacuate data centres at the request of the operators

The key op/evacuate/NAME was ignored, so tasks went on starting in the data centre (EVAC). One watch on op/ now brings the configuration and the evacuations; heartbeats pass them on to VMs that the store rejects. Jobs that have not begun go back to their entries; those that have may start their remaining tasks for 1 s. Workers that report ColdLeftMs are predicted with a factor of their own. The protocol between entry VMs is version 6.

The simulation's tests fail without the check in dispatch::fits.

--- a/crates/cli/src/bin/cardamomslip.rs
+++ b/crates/cli/src/bin/cardamomslip.rs
@@ -12,6 +12,7 @@
     check FILE              check a daemon's settings
     explain ID FILE...      explain the outcome of a job from saved logs of entry VMs
     status                  show the status of an entry VM
+    evacuations             list the evacuated data centres (--server: a metrics address)
     preset list             list the presets; * marks the active one
     preset show [NAME]      show a preset, by default the active one
     preset apply NAME       activate a preset (needs --why)
@@ -31,8 +32,8 @@
 const TOKEN_VAR: &str = "CARDAMOMSLIP_TOKEN";
 /// Environment variable that holds the daemon's address.
 const SERVER_VAR: &str = "CARDAMOMSLIP_SERVER";
-/// Commands that don't call a daemon, so they need no token.
-const OFFLINE_COMMANDS: [&str; 2] = ["check", "explain"];
+/// Commands that need no token: they call no daemon, or only its metrics address.
+const PUBLIC_COMMANDS: [&str; 3] = ["check", "explain", "evacuations"];
 /// Address of the daemon if neither `--server` nor the environment gives one.
 const DEFAULT_SERVER: &str = "127.0.0.1:7100";
 
@@ -103,7 +104,7 @@
         .or_else(|| std::env::var(SERVER_VAR).ok());
     let server = server.unwrap_or_else(|| DEFAULT_SERVER.to_owned());
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
-    let token = if OFFLINE_COMMANDS.contains(&words[0]) {
+    let token = if PUBLIC_COMMANDS.contains(&words[0]) {
         String::new()
     } else {
         read_token(matches)?
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -65,6 +65,7 @@
         ["check", file] => check(file),
         ["explain", id, files @ ..] if !files.is_empty() => explain(id, files),
         ["status"] => show(&client.get("/v1/operator/status")?, opts),
+        ["evacuations"] => show(&client.get("/evacuations")?, opts),
         ["preset", "list"] => preset_list(client, opts),
         ["preset", "show"] => preset_show(client, None, opts),
         ["preset", "show", name] => preset_show(client, Some(name), opts),
--- a/crates/core/src/guarded/action.rs
+++ b/crates/core/src/guarded/action.rs
@@ -1,6 +1,7 @@
 //! Actions that the dispatcher requests.
 
 use super::model::answer::Answer;
+use super::model::evacuations::Evacuations;
 use super::model::ids::{FencingToken, RunId, WorkerId};
 use super::model::message::Message;
 use super::model::queue::QueueTable;
@@ -54,6 +55,8 @@
     },
     /// Use this newer configuration in this process.
     AdoptQueues(Arc<QueueTable>),
+    /// These evacuations are in force now.
+    Evacuations(Arc<Evacuations>),
     /// Exit the process: all work has ended.
     Closed,
 }
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -67,7 +67,10 @@
             Event::ClientGone(call) => systems::entry::handle_disconnect(world, cx, call),
             Event::Cancel { call, job } => systems::cancels::request(world, cx, call, job),
             Event::Queues(table) => systems::configuration::adopt(world, cx, table),
-            Event::Worker(entry) => add_or_update_worker(world, entry),
+            Event::Evacuations { state, is_change } => {
+                systems::evacuations::adopt(world, cx, &state, is_change);
+            }
+            Event::Worker(entry) => add_or_update_worker(world, now, entry),
             Event::WorkerGone(id) => mark_worker_missing(world, now, id),
             Event::WorkersListed(entries) => handle_worker_list(world, now, entries),
             Event::VmsListed(entries) => handle_vm_list(world, &entries),
@@ -172,6 +175,7 @@
                 world.last_active_at.unwrap_or_default().since(known_at)
             }),
             starts_in_flight: world.starts_in_flight.open_count() as u64,
+            evacuated_data_centres: world.evacuations.state().len() as u64,
             suspects: world.suspects.open_count() as u64,
             contained_queues: world
                 .bulkheads
@@ -201,17 +205,18 @@
     systems::placement::retry_unplaced(world, cx);
 }
 
-fn add_or_update_worker(world: &mut World, entry: WorkerEntry) {
+fn add_or_update_worker(world: &mut World, now: Time, entry: WorkerEntry) {
     // An entry that arrives after this VM has stopped following the registry is out of date.
     if !world.topology.follows_workers {
         return;
     }
     let id = entry.id;
-    world.registry.insert(entry.clone());
+    world.registry.insert(now, entry.clone());
     if let Some(row) = world.workers.get_mut(&id) {
         if row.entry.draining != entry.draining {
             tracing::info!(worker = %id, draining = entry.draining, "worker changed");
         }
+        row.cold_until = now + entry.cold_left;
         row.entry = entry;
         row.missing_since = None;
     } else if systems::cell_assignment::is_claimed(world, &entry) {
@@ -232,7 +237,7 @@
         mark_worker_missing(world, now, id);
     }
     for entry in entries {
-        add_or_update_worker(world, entry);
+        add_or_update_worker(world, now, entry);
     }
 }
 
--- a/crates/core/src/guarded/event.rs
+++ b/crates/core/src/guarded/event.rs
@@ -1,5 +1,6 @@
 //! Events that the adapters report to the dispatcher.
 
+use super::model::evacuations::Evacuations;
 use super::model::ids::{ClientJobId, RunId, WorkerId};
 use super::model::job::Job;
 use super::model::message::Message;
@@ -32,6 +33,13 @@
     },
     /// The configuration was read from the store.
     Queues(Arc<QueueTable>),
+    /// The evacuations that the operators requested were read from the store.
+    Evacuations {
+        /// State as of the newest revision.
+        state: Arc<Evacuations>,
+        /// Whether a change was just reported by a watch, rather than found in a list.
+        is_change: bool,
+    },
     /// A worker was added to the registry or changed.
     Worker(WorkerEntry),
     /// A worker was removed from the registry.
--- a/crates/core/src/guarded/model/answer.rs
+++ b/crates/core/src/guarded/model/answer.rs
@@ -36,6 +36,8 @@
     /// Tasks of its queue crash workers, and the share of the workers that the queue may take is in
     /// use.
     Contained,
+    /// The data centre of the workers is being evacuated.
+    Evacuated,
 }
 
 /// Reason why a job was dropped after tasks may have started.
@@ -53,6 +55,8 @@
     Suspected,
     /// A start of one of its tasks was not answered, and may still be carried out.
     StartInFlight,
+    /// The data centre of the workers is evacuated, and not all of its tasks had started.
+    Evacuated,
 }
 
 impl RefusalCause {
@@ -64,6 +68,7 @@
             Self::Impossible => "impossible",
             Self::NoRunner => "no_runner",
             Self::Contained => "contained",
+            Self::Evacuated => "evacuated",
             Self::Stopping => "stopping",
         }
     }
@@ -80,6 +85,7 @@
             Self::Stopping => "stopping",
             Self::Suspected => "suspected",
             Self::StartInFlight => "start_in_flight",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -4,6 +4,7 @@
 use super::cell::{Cell, HolderLoad};
 use super::crash::{Crash, Evidence};
 use super::echo::Echo;
+use super::evacuations::Evacuations;
 use super::ids::{ClientJobId, FencingToken, TaskId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
@@ -153,6 +154,8 @@
     pub queues_version: u64,
     /// Time since the first VM had that configuration, as far as the sender knows.
     pub queues_age: Duration,
+    /// Evacuations that it knows of.
+    pub evacuations: Arc<Evacuations>,
     /// Highest fencing token that it has seen.
     pub token: u64,
     /// Cells that it claims; empty while it is stopping.
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -4,6 +4,7 @@
 pub mod cell;
 pub mod crash;
 pub mod echo;
+pub mod evacuations;
 pub mod ids;
 pub mod job;
 pub mod message;
--- a/crates/core/src/guarded/model/worker.rs
+++ b/crates/core/src/guarded/model/worker.rs
@@ -4,6 +4,7 @@
 use super::resources::Resources;
 use crate::model::ids::DataCentreId;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Registry entry of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +21,8 @@
     pub labels: Vec<Arc<str>>,
     /// Whether it is draining and must get no new runs.
     pub draining: bool,
+    /// Time for which it is slower than usual after its start, from when the entry was written.
+    pub cold_left: Duration,
     /// Boot that the entry is of, as in replies to polls; `None` if the entry does not say.
     pub boot: Option<u64>,
 }
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -63,6 +63,10 @@
     pub containments: u64,
     /// Queues that are currently contained.
     pub contained_queues: u64,
+    /// Changes of the evacuations that this VM learned of.
+    pub evacuation_changes: u64,
+    /// Data centres that are currently evacuated.
+    pub evacuated_data_centres: u64,
     /// Tasks currently suspected of crashing their workers.
     pub suspects: u64,
     /// Peers that are currently connected.
--- a/crates/core/src/guarded/systems/cell_assignment.rs
+++ b/crates/core/src/guarded/systems/cell_assignment.rs
@@ -3,7 +3,7 @@
 //! The cells of a data centre go to its relays. Those of a data centre whose VMs are all gone go to
 //! the relays of the others.
 
-use super::{containment, holds, topology};
+use super::{containment, evacuations, holds, topology};
 use crate::collections::FastMap;
 use crate::guarded::model::cell::{Cell, HolderLoad};
 use crate::guarded::model::vm::mix;
@@ -40,7 +40,7 @@
     let stale_after = world.policy.worker_stale_after * 2;
     let rows = world.workers.values();
     for row in rows.filter(|row| is_claimed(world, &row.entry)) {
-        if row.exclusive_to.is_some() {
+        if row.exclusive_to.is_some() || evacuations::is_evacuated(world, row.entry.data_centre) {
             continue;
         }
         if row.is_usable(now, stale_after) {
--- a/crates/core/src/guarded/systems/containment.rs
+++ b/crates/core/src/guarded/systems/containment.rs
@@ -6,6 +6,7 @@
 //! its workers are back.
 
 use super::cell_assignment::is_claimed;
+use super::evacuations::is_evacuated;
 use crate::guarded::model::cell::HolderLoad;
 use crate::guarded::model::ids::{QueueId, WorkerId};
 use crate::guarded::tables::worker::Worker;
@@ -126,7 +127,9 @@
 pub fn load(world: &World, now: Time, queue: QueueId) -> HolderLoad {
     let stale_after = world.policy.worker_stale_after * 2;
     let usable = world.workers.values();
-    let usable = usable.filter(|row| row.is_usable(now, stale_after));
+    let usable = usable.filter(|row| {
+        row.is_usable(now, stale_after) && !is_evacuated(world, row.entry.data_centre)
+    });
     let mut load = HolderLoad {
         mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
         ..HolderLoad::default()
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -1,6 +1,6 @@
 //! Scheduling: chooses the next task to start and the worker to start it on.
 
-use super::{containment, leases, quarantine, suspect_reports};
+use super::{containment, evacuations, leases, quarantine, suspect_reports};
 use crate::guarded::action::{Action, Start};
 use crate::guarded::model::ids::{ClientJobId, RunId, TaskId, WorkerId};
 use crate::guarded::model::job::Step;
@@ -242,6 +242,7 @@
         && row.may_extend_lease()
         && row.admits_run()
         && row.free().can_fit(&step.need)
+        && evacuations::admits(world, now, &row.entry, job)
         && quarantine::admits(world, now, row, task)
         && containment::admits(world, row, job.job.settings.queue)
         && step
@@ -264,7 +265,12 @@
     let preferred = step.preferred_rack.as_ref();
     let is_outside = preferred.is_some_and(|rack| !row.entry.has_label(rack));
     let rack_factor = if is_outside { REMOTE_RACK_FACTOR } else { 1.0 };
-    base.mul_f64(row.health.slowdown(now) * rack_factor)
+    let cold_factor = if row.is_cold(now) {
+        world.estimator.cold_factor()
+    } else {
+        1.0
+    };
+    base.mul_f64(row.health.slowdown(now) * rack_factor * cold_factor)
 }
 
 /// Factor on the run time of a task that runs outside the rack that holds its data.
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -138,7 +138,7 @@
         return false;
     }
     match cause {
-        RefusalCause::Stopping => true,
+        RefusalCause::Stopping | RefusalCause::Evacuated => true,
         RefusalCause::Overloaded => {
             let choice = choose_runner(world, cx.now, &row.job).linked;
             choice.is_some_and(|choice| {
--- a/crates/core/src/guarded/systems/heartbeats.rs
+++ b/crates/core/src/guarded/systems/heartbeats.rs
@@ -14,6 +14,7 @@
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Minimum interval between heartbeats to all peers that do not wait for their rounds.
@@ -187,6 +188,7 @@
         leaving,
         queues_version: world.queues_version(),
         queues_age: cx.now.since(world.queues_known_at),
+        evacuations: Arc::clone(world.evacuations.state()),
         token: world.token.0,
         cells: cells.copied().collect(),
         load: cell_assignment::own_load(world, cx.now).unwrap_or_default(),
--- a/crates/core/src/guarded/systems/holds.rs
+++ b/crates/core/src/guarded/systems/holds.rs
@@ -43,6 +43,7 @@
     if let Some(registered) = world.registry.get(id) {
         let mut row = Worker::new(registered.entry.clone());
         row.missing_since = registered.missing_since;
+        row.cold_until = registered.cold_until;
         world.workers.insert(id, row);
     }
 }
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -12,6 +12,7 @@
 pub mod crashes;
 pub mod dispatch;
 pub mod entry;
+pub mod evacuations;
 pub mod heartbeats;
 pub mod holds;
 pub mod leases;
--- a/crates/core/src/guarded/systems/peers.rs
+++ b/crates/core/src/guarded/systems/peers.rs
@@ -3,7 +3,7 @@
 //! A lost connection ends the jobs that depend on it, but the peer counts as gone only once it has
 //! been silent for its limit, or refuses connections.
 
-use super::{entry, heartbeats, runner, start_reports, suspect_reports};
+use super::{entry, evacuations, heartbeats, runner, start_reports, suspect_reports};
 use crate::guarded::action::Action;
 use crate::guarded::model::message::{Heartbeat, RemoteHolder};
 use crate::guarded::tables::peer::Peer;
@@ -123,6 +123,7 @@
     heartbeat: Heartbeat,
 ) {
     world.record_token(heartbeat.token);
+    evacuations::adopt(world, cx, &heartbeat.evacuations, false);
     let horizon = world.horizon.at();
     let is_local = from.data_centre == world.me.data_centre;
     let Some(row) = world.peers.get_mut(&from) else {
--- a/crates/core/src/guarded/systems/placement.rs
+++ b/crates/core/src/guarded/systems/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of jobs on runners.
 
 use super::entry::{NO_RUNNER_RETRY_DELAY, answer_clients};
+use super::evacuations::is_evacuated;
 use super::{cell_assignment, runner};
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, RefusalCause};
@@ -213,11 +214,20 @@
 
 fn may_receive_jobs(world: &World, now: Time, row: &Peer) -> bool {
     row.linked
+        && !has_only_evacuated_cells(world, row)
         && row.is_serving()
         && !row.is_suspect(now, &world.policy)
         && row.stamps.echo_at(world.horizon.at()).is_some()
 }
 
+/// Returns whether all cells of a peer are in data centres that are evacuated. Its reported load may not
+/// show that yet.
+fn has_only_evacuated_cells(world: &World, row: &Peer) -> bool {
+    let cells = row.heartbeat.iter().flat_map(|heartbeat| &heartbeat.cells);
+    let mut cells = cells.map(|cell| cell.data_centre);
+    !world.evacuations.state().is_empty() && cells.all(|id| is_evacuated(world, id))
+}
+
 /// Returns the time stamp that a placement with a peer sends back to it. Without one the peer could not
 /// tell how old the placement is.
 fn echo_to(world: &World, runner: Incarnation) -> Option<Echo> {
--- a/crates/core/src/guarded/systems/progress.rs
+++ b/crates/core/src/guarded/systems/progress.rs
@@ -33,10 +33,14 @@
             let expected = world
                 .estimator
                 .predict(finished.run.estimate, kind.as_ref());
-            row.health.record_success(cx.now, expected, actual);
-            world
-                .estimator
-                .record(kind.as_ref(), finished.run.estimate, actual);
+            if row.is_cold(since) {
+                row.health.failures = 0;
+                world.estimator.record_cold(expected, actual);
+            } else {
+                row.health.record_success(cx.now, expected, actual);
+                let estimate = finished.run.estimate;
+                world.estimator.record(kind.as_ref(), estimate, actual);
+            }
             world.mean_run_ms +=
                 MEAN_RUN_TIME_WEIGHT * (actual.as_secs_f64() * 1e3 - world.mean_run_ms);
         }
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,8 +1,8 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
 use super::{
-    cell_assignment, containment, crashes, quarantine, start_reports, starts_in_flight, stops,
-    suspect_reports,
+    cell_assignment, containment, crashes, evacuations, quarantine, start_reports,
+    starts_in_flight, stops, suspect_reports,
 };
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
@@ -105,6 +105,9 @@
             retry_after: STOPPING_RETRY_DELAY,
         });
     }
+    if let Some(answer) = evacuations::check_new_job(world, cx.now) {
+        return Some(answer);
+    }
     if !is_possible(world, job) {
         return Some(Answer::Refused {
             cause: RefusalCause::Impossible,
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -1,7 +1,7 @@
 //! Periodic checks: jobs that can't end in time, runs that hang, and workers that left the
 //! registry.
 
-use super::{cell_assignment, containment, dispatch, runner, starts_in_flight, stops};
+use super::{cell_assignment, containment, dispatch, evacuations, runner, starts_in_flight, stops};
 use crate::collections::FastMap;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
@@ -102,6 +102,9 @@
 /// Returns the outcome of a job with waiting tasks that must be refused or dropped, where `wait`
 /// is its expected wait. `None` keeps the job.
 fn decide_outcome(world: &World, cx: &Cx<'_>, job: &RunnerJob, wait: Duration) -> Option<Answer> {
+    if let Some(answer) = evacuations::check_waiting_job(world, cx.now, job) {
+        return Some(answer);
+    }
     if job.started {
         let is_contained = containment::is_contained(world, job.job.settings.queue);
         let left = job.work_left(&world.estimator);
--- a/crates/core/src/guarded/tables/estimator.rs
+++ b/crates/core/src/guarded/tables/estimator.rs
@@ -13,10 +13,26 @@
 /// Bounds of a single observation, as a factor on the client's estimate.
 const OBSERVATION_BOUNDS: std::ops::RangeInclusive<f64> = 0.1..=10.0;
 
+/// Weight of a new observation of a cold worker. Workers are cold for seconds only.
+const COLD_UPDATE_WEIGHT: f64 = 0.2;
+/// Bounds of the factor of cold workers.
+const COLD_BOUNDS: std::ops::RangeInclusive<f64> = 1.0..=10.0;
+
 /// Tracks, per kind of worker, the ratio of actual run times to the clients' estimates.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Estimator {
     factors: FastMap<Arc<str>, f64>,
+    /// Factor by which runs take longer on workers that have started a moment ago.
+    cold_factor: f64,
+}
+
+impl Default for Estimator {
+    fn default() -> Self {
+        Self {
+            factors: FastMap::default(),
+            cold_factor: 1.0,
+        }
+    }
 }
 
 impl Estimator {
@@ -46,6 +62,22 @@
         }
     }
 
+    /// Returns the factor by which runs take longer on cold workers than later.
+    pub const fn cold_factor(&self) -> f64 {
+        self.cold_factor
+    }
+
+    /// Records a run on a cold worker that would have taken `expected` later. It says nothing about the
+    /// kind of the worker.
+    pub fn record_cold(&mut self, expected: Duration, actual: Duration) {
+        if expected.is_zero() {
+            return;
+        }
+        let observed = actual.as_secs_f64() / expected.as_secs_f64();
+        let observed = observed.clamp(*COLD_BOUNDS.start(), *COLD_BOUNDS.end());
+        self.cold_factor += COLD_UPDATE_WEIGHT * (observed - self.cold_factor);
+    }
+
     fn factor(&self, kind: Option<&Arc<str>>) -> f64 {
         kind.and_then(|kind| self.factors.get(kind))
             .copied()
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -3,6 +3,7 @@
 pub mod bulkhead;
 pub mod entry_job;
 pub mod estimator;
+pub mod evacuation;
 pub mod peer;
 pub mod read_horizon;
 pub mod recent;
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -174,6 +174,8 @@
     pub used: Resources,
     /// Failures and slowdown.
     pub health: Health,
+    /// Time until which it is slower than usual, because it has started a moment ago.
+    pub cold_until: Time,
     /// Time of the next probe while it is unreachable.
     pub next_probe_at: Time,
     /// Time until which it counts as full, regardless of `used`.
@@ -213,6 +215,7 @@
             is_in_doubt: false,
             used: Resources::default(),
             health: Health::default(),
+            cold_until: Time::ZERO,
             next_probe_at: Time::ZERO,
             full_until: Time::ZERO,
             reserved_for: None,
@@ -225,6 +228,11 @@
         }
     }
 
+    /// Returns whether runs that begin at this time take longer than usual.
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns the resources that no run occupies.
     pub fn free(&self) -> Resources {
         self.entry.capacity.without(&self.used)
--- a/crates/core/src/guarded/tables/worker_registry.rs
+++ b/crates/core/src/guarded/tables/worker_registry.rs
@@ -13,6 +13,8 @@
 pub struct RegisteredWorker {
     /// Entry of the worker.
     pub entry: WorkerEntry,
+    /// Time until which it is slower than usual, because it has started a moment ago.
+    pub cold_until: Time,
     /// Time since which the store does not list it; `None` while it does.
     pub missing_since: Option<Time>,
 }
@@ -65,10 +67,11 @@
     }
 
     /// Adds a worker or updates its entry.
-    pub fn insert(&mut self, entry: WorkerEntry) {
+    pub fn insert(&mut self, now: Time, entry: WorkerEntry) {
         self.missing.remove(&entry.id);
         let (id, data_centre) = (entry.id, entry.data_centre);
         let row = RegisteredWorker {
+            cold_until: now + entry.cold_left,
             entry,
             missing_since: None,
         };
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -13,6 +13,7 @@
 use super::tables::bulkhead::Bulkhead;
 use super::tables::entry_job::EntryJob;
 use super::tables::estimator::Estimator;
+use super::tables::evacuation::EvacuationTable;
 use super::tables::peer::Peer;
 use super::tables::read_horizon::ReadHorizon;
 use super::tables::recent::RecentOutcomes;
@@ -89,6 +90,8 @@
     pub outdated_since: Option<Time>,
     /// Time of the last request for it.
     pub queues_requested_at: Option<Time>,
+    /// Data centres whose workers get no new runs.
+    pub evacuations: EvacuationTable,
     /// Workers that the store lists.
     pub registry: WorkerRegistry,
     /// Workers of the claimed cells, and others whose runs are not known to have ended.
@@ -182,6 +185,7 @@
             queues_known_at: Time::ZERO,
             outdated_since: None,
             queues_requested_at: None,
+            evacuations: EvacuationTable::default(),
             registry: WorkerRegistry::default(),
             workers: BTreeMap::new(),
             directory: VmDirectory::default(),
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -16,6 +16,7 @@
 mod cancels;
 mod capacity;
 mod crashes;
+mod evacuations;
 mod history;
 mod loads;
 mod oracle;
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -1,6 +1,7 @@
 //! Discrete-event simulation of dispatchers, workers and clients. Times are in microseconds.
 
 mod clients;
+mod evacuations;
 mod faults;
 mod links;
 mod stalls;
@@ -16,6 +17,7 @@
 use crate::worker::{Behaviour, ModelWorker};
 use cardamomslip_core::guarded::action::{Action, Poll};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause};
+use cardamomslip_core::guarded::model::evacuations::{Evacuation, Evacuations};
 use cardamomslip_core::guarded::model::ids::{
     ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
 };
@@ -239,6 +241,8 @@
     pub cancel_acks: BTreeMap<CallId, bool>,
     /// Number of starts and stops that each VM sent.
     pub orders: Vec<u64>,
+    /// Evacuations that the store has.
+    evacuations: Evacuations,
     /// Whether a VM that starts can't read the configuration from the store.
     pub configuration_unavailable: bool,
     /// Number of configurations sent between VMs.
@@ -294,6 +298,7 @@
             heartbeats: vec![HeartbeatCount::default(); shape.vms],
             cancel_acks: BTreeMap::new(),
             orders: vec![0; shape.vms],
+            evacuations: Evacuations::new(1),
             configuration_unavailable: false,
             queues_sent: 0,
             starts_to_hold: 0,
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -24,6 +24,7 @@
         if !self.configuration_unavailable {
             let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
             self.push_event(self.now + MS, vm, Event::Queues(table));
+            self.list_evacuations(vm);
         }
         self.publish_vms(vm);
         for peer in 0..self.vms.len() {
@@ -203,6 +204,7 @@
                 let boot = self.vms[vm].boot;
                 self.history.record_configuration(vm, boot, table.version);
             }
+            Action::Evacuations(_) => {}
             Action::Closed => {
                 let me = self.vms[vm].me;
                 self.vms[vm].dispatcher = None;
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -19,6 +19,7 @@
             capacity: row.capacity,
             labels: vec!["a".into()],
             draining: row.draining_since.is_some(),
+            cold_left: Duration::from_millis(row.cold_left_ms),
             boot: Some(row.boot),
         }
     }
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -50,6 +50,8 @@
     pub started: u64,
     /// Whether it rejects runs for which it has no room.
     pub guards_capacity: bool,
+    /// Time for which it says that it is slow after its start.
+    pub cold_left_ms: u64,
     /// Whether it refuses every stop and does nothing for it.
     pub refuses_stops: bool,
     /// Value at which its clock starts in each boot.
@@ -83,6 +85,7 @@
             rejected_for_capacity: 0,
             started: 0,
             guards_capacity: true,
+            cold_left_ms: 0,
             refuses_stops: false,
             clock_start_ms: 0,
             former_capacity: None,
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -200,6 +200,7 @@
             Action::Start(start) => self.adapter.workers().start(start),
             Action::Stop { worker, run, token } => self.adapter.workers().stop(worker, run, token),
             Action::AdoptQueues(queues) => self.adapter.set_queues(&queues),
+            Action::Evacuations(state) => self.adapter.set_evacuations(&state),
             Action::Closed => {
                 tracing::info!("dispatcher closed");
                 cx.stop();
--- a/src/guarded/adapter.rs
+++ b/src/guarded/adapter.rs
@@ -2,6 +2,7 @@
 
 use cardamomslip_core::guarded::action::{Poll, Start};
 use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::evacuations::Evacuations;
 use cardamomslip_core::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use std::sync::Arc;
@@ -44,6 +45,9 @@
     /// Applies the queues of a newer configuration.
     fn set_queues(&mut self, queues: &Arc<QueueTable>);
 
+    /// Called with the evacuations of data centres when they have changed.
+    fn set_evacuations(&mut self, state: &Arc<Evacuations>);
+
     /// Sets whether the registry of the workers is to be followed.
     fn follow_workers(&mut self, follow: bool);
 
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -86,6 +86,8 @@
             counter!("cardamomslip_jobs_set_aside_total").absolute(stats.set_aside);
             counter!("cardamomslip_containments_total").absolute(stats.containments);
             gauge!("cardamomslip_contained_queues").set(stats.contained_queues as f64);
+            counter!("cardamomslip_evacuation_changes_total").absolute(stats.evacuation_changes);
+            gauge!("cardamomslip_evacuated_data_centres").set(stats.evacuated_data_centres as f64);
             gauge!("cardamomslip_suspects").set(stats.suspects as f64);
             gauge!("cardamomslip_linked_peers").set(stats.linked_peers as f64);
             gauge!("cardamomslip_relays").set(stats.relays as f64);
--- a/src/guarded/wire/heartbeat.rs
+++ b/src/guarded/wire/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Wire format of heartbeats.
 
 use super::echo::EchoWire;
+use super::evacuations::EvacuationsWire;
 use super::micros;
 use crate::peers::{IncarnationWire, WireError};
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
@@ -9,10 +10,11 @@
 use cardamomslip_core::model::ids::DataCentreId;
 use cardamomslip_core::model::time::Time;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::Duration;
 
-/// `sent_at`, `echo`, `weight`, `leaving`, `queues_version`, `queues_age`, `token`, `cells`, `load`,
-/// `still_held`, `next_within`, `is_relay`, `wants_link`, `remote_holders`.
+/// `sent_at`, `echo`, `weight`, `leaving`, `queues_version`, `queues_age`, `evacuations`, `token`,
+/// `cells`, `load`, `still_held`, `next_within`, `is_relay`, `wants_link`, `remote_holders`.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HeartbeatWire(
     u64,
@@ -21,6 +23,7 @@
     bool,
     u64,
     u64,
+    EvacuationsWire,
     u64,
     Vec<CellWire>,
     HolderLoadWire,
@@ -52,6 +55,7 @@
             heartbeat.leaving,
             heartbeat.queues_version,
             micros(heartbeat.queues_age),
+            (&*heartbeat.evacuations).into(),
             heartbeat.token,
             heartbeat
                 .cells
@@ -80,6 +84,7 @@
             leaving,
             queues_version,
             queues_age,
+            evacuations,
             token,
             cells,
             load,
@@ -97,6 +102,7 @@
             leaving,
             queues_version,
             queues_age: Duration::from_micros(queues_age),
+            evacuations: Arc::new(evacuations.into()),
             token,
             cells: cells.collect::<Result<_, _>>()?,
             load: load.into(),
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -4,6 +4,7 @@
 //! in microseconds.
 
 mod echo;
+mod evacuations;
 mod heartbeat;
 mod start;
 mod suspect;
@@ -105,22 +106,24 @@
 struct AnswerWire(u8, u8, u64);
 
 /// Refusal causes by wire code.
-const REFUSAL_CAUSES: [RefusalCause; 5] = [
+const REFUSAL_CAUSES: [RefusalCause; 6] = [
     RefusalCause::Overloaded,
     RefusalCause::Impossible,
     RefusalCause::NoRunner,
     RefusalCause::Stopping,
     RefusalCause::Contained,
+    RefusalCause::Evacuated,
 ];
 
 /// Loss causes by wire code.
-const LOSS_CAUSES: [LossCause; 6] = [
+const LOSS_CAUSES: [LossCause; 7] = [
     LossCause::DeadlinePassed,
     LossCause::RunnerLost,
     LossCause::Paused,
     LossCause::Stopping,
     LossCause::Suspected,
     LossCause::StartInFlight,
+    LossCause::Evacuated,
 ];
 
 fn micros(span: Duration) -> u64 {
--- a/src/peers/hello.rs
+++ b/src/peers/hello.rs
@@ -8,7 +8,7 @@
 use tokio_tungstenite::tungstenite::http::{HeaderValue, StatusCode};
 
 /// Protocol version. Peers with different versions reject each other's connections.
-pub const PROTOCOL: &str = "cardamomslip.5";
+pub const PROTOCOL: &str = "cardamomslip.6";
 /// Header that carries the protocol version.
 pub const PROTOCOL_HEADER: &str = "sec-websocket-protocol";
 /// Header that carries the shared secret.
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -5,6 +5,7 @@
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
 use cardamomslip_core::guarded::model::crash::Evidence;
 use cardamomslip_core::guarded::model::echo::Echo;
+use cardamomslip_core::guarded::model::evacuations::{Evacuation, Evacuations};
 use cardamomslip_core::guarded::model::ids::{
     ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
 };
@@ -35,6 +36,14 @@
     held: Duration::from_micros(250_000),
 };
 
+fn evacuations() -> Evacuations {
+    let mut state = Evacuations::new(u64::MAX);
+    let name = "sutherland".into();
+    let revision = 1_900;
+    state.insert(DataCentreId(u64::MAX), Evacuation { name, revision });
+    state
+}
+
 fn heartbeat(cell_count: u16, index: u16) -> Message {
     Message::Heartbeat(Heartbeat {
         sent_at: Time::from_micros(u64::MAX),
@@ -43,6 +52,7 @@
         leaving: true,
         queues_version: 17,
         queues_age: Duration::from_micros(1_000_001),
+        evacuations: Arc::new(evacuations()),
         token: 1 << 52,
         cells: vec![Cell {
             data_centre: DataCentreId(u64::MAX),
--- a/tests/peer_handshake.rs
+++ b/tests/peer_handshake.rs
@@ -16,8 +16,8 @@
 const SECRET: &str = "a secret of the peers";
 
 #[rstest]
-#[case::right(SECRET, "cardamomslip.5", "101")]
-#[case::wrong_secret("another secret", "cardamomslip.5", "401")]
+#[case::right(SECRET, "cardamomslip.6", "101")]
+#[case::wrong_secret("another secret", "cardamomslip.6", "401")]
 #[case::other_version(SECRET, "cardamomslip.1", "426")]
 #[case::former_version(SECRET, "cardamomslip.3", "426")]
 fn secret_and_version_are_checked(
--- a/tests/unread_backlog.rs
+++ b/tests/unread_backlog.rs
@@ -8,6 +8,7 @@
 use cardamomslip::settings::Secret;
 use cardamomslip_core::guarded::action::{Poll, Start};
 use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::evacuations::Evacuations;
 use cardamomslip_core::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy};
@@ -86,6 +87,8 @@
 
     fn set_queues(&mut self, _: &Arc<QueueTable>) {}
 
+    fn set_evacuations(&mut self, _: &Arc<Evacuations>) {}
+
     fn follow_workers(&mut self, _: bool) {}
 
     fn begin_stop(&mut self) {
