The test of a closed connection doesn't depend on the time that encoding takes

`nothing_is_sent_on_a_connection_after_its_close` failed when its messages all arrived: the hub encodes the backlog before it carries out the close, which took 1.2 to 3.1 s in seven runs of a debug build beside load, while the peer stalled for 1.5 s only and was reading again by then. The peer now reads nothing until the close is reported. With the reset of the closed connection taken out of the product the test fails.

--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -56,9 +56,13 @@
 }
 
 fn start_peer(runtime: &Runtime, vm: u64) -> TestPeer {
+    start_peer_with(runtime, vm, IDLE_TIMEOUT)
+}
+
+fn start_peer_with(runtime: &Runtime, vm: u64, idle_timeout: Duration) -> TestPeer {
     let secret = Secret::new("a secret of the peers".to_owned());
     let listen = "127.0.0.1:0".parse().expect("an address");
-    let config = PeerConfig::new(incarnation(vm), secret, IDLE_TIMEOUT, listen, Vec::new());
+    let config = PeerConfig::new(incarnation(vm), secret, idle_timeout, listen, Vec::new());
     let (tx, events) = channel();
     let hub = PeerHub::start(config, runtime.handle(), EventSender(tx)).expect("a hub");
     TestPeer { hub, events }
@@ -170,12 +174,20 @@
     two.hub.close();
 }
 
-/// Number and size of messages that are too many for the buffers of a connection.
+/// Number and size of messages that are too many for the buffers of a connection whose receiver reads
+/// nothing: 16 MB, where the system holds up to 4 MB to send and does not enlarge the buffer of a receiver
+/// that does not read.
 const BACKLOG: usize = 1_500;
 const HOLDERS_PER_MESSAGE: u64 = 400;
+/// Time limit, also for silence, that is longer than the encoding of the backlog takes: seconds in a debug
+/// build on a busy machine. The close follows it.
+const LONG_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time without a message after which a peer that reads again has read all that will arrive.
+const QUIET_TIME: Duration = Duration::from_secs(1);
 
 /// Guards against a job that is placed with a peer after its entry has given that peer up: what a closed
-/// connection has not sent yet must not arrive once the peer reads again.
+/// connection has not sent yet must not arrive once the peer reads again. The peer reads nothing until
+/// the close has been reported, however long that takes.
 #[test]
 fn nothing_is_sent_on_a_connection_after_its_close() {
     let runtime = Runtime::new().expect("a runtime");
@@ -183,14 +195,18 @@
         .enable_all()
         .build()
         .expect("a runtime");
-    let one = start_peer(&runtime, 1);
-    let two = start_peer(&slow_runtime, 2);
-    let (stall, stalled) = tokio::sync::oneshot::channel::<()>();
+    let one = start_peer_with(&runtime, 1, LONG_IDLE_TIMEOUT);
+    let two = start_peer_with(&slow_runtime, 2, LONG_IDLE_TIMEOUT);
+    let (stall, stall_rx) = tokio::sync::oneshot::channel::<()>();
+    let (stalled, stalled_rx) = channel::<()>();
+    let (resume, resume_rx) = channel::<()>();
+    let (end, end_rx) = tokio::sync::oneshot::channel::<()>();
     let thread = std::thread::spawn(move || {
         slow_runtime.block_on(async {
-            stalled.await.expect("the test");
-            std::thread::sleep(Duration::from_millis(1_500));
-            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            stall_rx.await.expect("the test");
+            stalled.send(()).expect("the test");
+            resume_rx.recv().expect("the test");
+            end_rx.await.expect("the test");
         });
     });
     one.hub.set_peers(vec![peer_address(&two, 2)]);
@@ -198,8 +214,10 @@
     let Ok(PeerEvent::Up(peer, link)) = up else {
         panic!("expected a connection, got {up:?}");
     };
+    let up = two.events.recv_timeout(EVENT_TIMEOUT);
+    assert!(matches!(up, Ok(PeerEvent::Up(..))), "got {up:?}");
     stall.send(()).expect("the peer");
-    std::thread::sleep(Duration::from_millis(100));
+    stalled_rx.recv_timeout(EVENT_TIMEOUT).expect("a stall");
     let message = Message::Closed {
         closed: peer,
         holders: (0..HOLDERS_PER_MESSAGE).map(incarnation).collect(),
@@ -208,11 +226,14 @@
         one.hub.send_on(peer, link, message.clone());
     }
     one.hub.close_link(peer, link);
-    let down = one.events.recv_timeout(EVENT_TIMEOUT);
+    let down = one.events.recv_timeout(LONG_IDLE_TIMEOUT);
     assert_eq!(down, Ok(PeerEvent::Down(peer)));
+    resume.send(()).expect("the peer");
+    let mut received = 0;
+    while let Ok(event) = two.events.recv_timeout(QUIET_TIME) {
+        received += usize::from(event == PeerEvent::Message);
+    }
+    end.send(()).expect("the peer");
     thread.join().expect("the peer");
-    let events: Vec<_> = two.events.try_iter().collect();
-    let received = events.iter().filter(|event| **event == PeerEvent::Message);
-    let received = received.count();
     assert!(received < BACKLOG, "all {received} messages arrived");
 }
