--- a/crates/core/src/guarded/action.rs
+++ b/crates/core/src/guarded/action.rs
@@ -1,6 +1,7 @@
 //! Actions that the dispatcher requests.
 
 use super::model::answer::Answer;
+use super::model::cancel::CancelOutcome;
 use super::model::evacuations::Evacuations;
 use super::model::ids::{FencingToken, RunId, WorkerId};
 use super::model::message::Message;
@@ -20,12 +21,12 @@
         /// Answer to send.
         answer: Answer,
     },
-    /// Acknowledge that a client cancelled a job.
+    /// Tell a client the outcome of its cancellation of a job.
     Acknowledge {
         /// Number of the call, from [`Event::Cancel`](super::Event::Cancel).
         call: CallId,
-        /// Whether this VM knew the job.
-        known: bool,
+        /// Outcome of the cancellation.
+        outcome: CancelOutcome,
     },
     /// Send a message to a peer.
     Send {
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -126,6 +126,8 @@
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
+        // Before the heartbeats, which answer for the clients of all jobs that were not cancelled.
+        systems::cancels::send(world, cx);
         // After the dispatch, so that the reported load includes it.
         systems::heartbeats::begin_round_if_due(world, cx);
         systems::heartbeats::broadcast_if_due(world, cx);
@@ -175,6 +177,8 @@
                 world.last_active_at.unwrap_or_default().since(known_at)
             }),
             starts_in_flight: world.starts_in_flight.open_count() as u64,
+            open_cancels: world.cancellations.len() as u64,
+            cancel_marks: world.cancel_marks.len() as u64,
             evacuated_data_centres: world.evacuations.state().len() as u64,
             suspects: world.suspects.open_count() as u64,
             contained_queues: world
@@ -200,6 +204,7 @@
     systems::peers::remove_outdated_holders(world, cx.now);
     systems::configuration::request(world, cx);
     systems::topology::run(world, cx);
+    systems::cancels::run(world, cx);
     systems::sweep::run(world, cx);
     systems::cell_assignment::run(world, cx);
     systems::placement::retry_unplaced(world, cx);
@@ -274,9 +279,13 @@
             systems::entry::handle_finished(world, cx, from, job, answer);
         }
         Message::Withdraw { job } => systems::runner::withdraw(world, cx, from, job),
-        Message::Cancel { job, pass_on } => {
-            systems::cancels::handle(world, cx, from, job, pass_on);
+        Message::Cancel(requests) => {
+            systems::cancels::handle_requests(world, cx, from, &requests);
         }
+        Message::CancelReplies(replies) => {
+            systems::cancels::handle_replies(world, cx, from, &replies);
+        }
+        Message::CancelMarks(marks) => systems::cancels::handle_marks(world, cx, from, &marks),
         Message::RequestQueues { version } => {
             systems::configuration::handle_request(world, cx, from, version);
         }
@@ -381,6 +390,7 @@
     systems::entry::run(world, cx);
     systems::entry::drop_all_jobs(world, cx, LossCause::Stopping);
     systems::stops::run(world, cx);
+    systems::cancels::close(world, cx);
     world.phase = Phase::Closed;
     cx.emit(Action::Closed);
 }
--- a/crates/core/src/guarded/model/answer.rs
+++ b/crates/core/src/guarded/model/answer.rs
@@ -38,6 +38,8 @@
     Contained,
     /// The data centre of the workers is being evacuated.
     Evacuated,
+    /// A client cancelled the job before any VM knew it.
+    CancelledBefore,
 }
 
 /// Reason why a job was dropped after tasks may have started.
@@ -70,6 +72,7 @@
             Self::Contained => "contained",
             Self::Evacuated => "evacuated",
             Self::Stopping => "stopping",
+            Self::CancelledBefore => "cancelled_before",
         }
     }
 }
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -1,6 +1,7 @@
 //! Messages between entry VMs.
 
 use super::answer::Answer;
+use super::cancel::{CancelMark, CancelReply, CancelRequest};
 use super::cell::{Cell, HolderLoad};
 use super::crash::{Crash, Evidence};
 use super::echo::Echo;
@@ -41,13 +42,12 @@
         /// Id of the job.
         job: ClientJobId,
     },
-    /// A client cancelled this job, wherever it is.
-    Cancel {
-        /// Id of the job.
-        job: ClientJobId,
-        /// Whether a receiver that does not know the job passes the message on.
-        pass_on: bool,
-    },
+    /// Clients cancelled these jobs, wherever they are.
+    Cancel(Vec<CancelRequest>),
+    /// Replies to such requests.
+    CancelReplies(Vec<CancelReply>),
+    /// Jobs that were found and cancelled.
+    CancelMarks(Vec<CancelMark>),
     /// Asks for a newer configuration than the sender has.
     RequestQueues {
         /// Version that the sender has; 0 for none.
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -1,6 +1,7 @@
 //! Data model of guarded workers.
 
 pub mod answer;
+pub mod cancel;
 pub mod cell;
 pub mod crash;
 pub mod echo;
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -19,7 +19,19 @@
     pub abandoned: u64,
     /// Jobs answered as cancelled.
     pub cancelled: u64,
-    /// Cancellations by clients of jobs that this VM did not know, which were passed on to peers.
+    /// Cancellations that clients of this VM requested.
+    pub cancels: u64,
+    /// Cancellations acknowledged after some VM had ended the job.
+    pub cancels_found: u64,
+    /// Cancellations of jobs that no VM knew.
+    pub cancels_unknown: u64,
+    /// Cancellations of jobs that no VM knew that could be asked, while others could not.
+    pub cancels_incomplete: u64,
+    /// Cancellations that currently wait for other VMs.
+    pub open_cancels: u64,
+    /// Current number of marks of cancelled jobs.
+    pub cancel_marks: u64,
+    /// Cancellations by clients for which all VMs were asked.
     pub cancels_passed_on: u64,
     /// Placements of jobs with a peer.
     pub placed_remote: u64,
--- a/crates/core/src/guarded/systems/cancels.rs
+++ b/crates/core/src/guarded/systems/cancels.rs
@@ -1,93 +1,653 @@
 //! Jobs that a client cancelled, perhaps at a VM that does not know them.
 //!
-//! The entry of a job and its runner know it. A VM that doesn't know a cancelled job tells its peers in
-//! the data centre, and two relays pass that on: relays are connected to all VMs of their data centre,
-//! and clients call the VMs of one data centre.
+//! The entry of a job and its runner know it. A VM that doesn't know a cancelled job asks the relays of
+//! its data centre, and then all VMs through one of them. See `docs/design/cancellation.md`.
 
-use super::{entry, runner};
+use super::{entry, runner, topology};
 use crate::guarded::action::Action;
-use crate::guarded::model::answer::Answer;
+use crate::guarded::model::answer::{Answer, RefusalCause};
+use crate::guarded::model::cancel::{
+    CancelMark, CancelOutcome, CancelReply, CancelRequest, CancelScope,
+};
 use crate::guarded::model::ids::ClientJobId;
 use crate::guarded::model::message::Message;
+use crate::guarded::tables::cancel_marks::{Mark, RETENTION};
+use crate::guarded::tables::cancellation::{Asker, Cancellation, Stage};
+use crate::guarded::tables::peer::Peer;
 use crate::guarded::world::{Cx, World};
-use crate::model::ids::CallId;
+use crate::model::ids::{CallId, DataCentreId};
 use crate::model::incarnation::Incarnation;
+use crate::model::time::Time;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-/// Number of relays that pass a cancellation on, in case one is lost.
+/// Maximum number of rows of a message.
+const MAX_MESSAGE_ROWS: usize = 512;
+/// Maximum number of marks that a new peer is told of.
+const MAX_REPORTED_MARKS: usize = 1_024;
+/// Number of relays that pass a mark on, in case one is lost.
 const PASSED_ON_BY: usize = 2;
+/// Time after which a client is told that not all VMs could be asked. Clients allow 4 s, and a VM may
+/// read the request up to 1 s late.
+const CLIENT_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time to wait for the relays and standbys of this data centre before all VMs are asked.
+const LOCALS_LIMIT: Duration = Duration::from_millis(60);
+/// Time that the VMs of a data centre have to reply to the relay that asked them; as long as a VM may
+/// stall without dropping its jobs.
+const DATA_CENTRE_LIMIT: Duration = Duration::from_millis(400);
+/// Same for the relay that asks the whole system: its peers wait for their data centres.
+const SYSTEM_LIMIT: Duration = Duration::from_millis(600);
+/// Same for the called VM.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(900);
+/// Pause after the first incomplete attempt. Each further one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Maximum number of times that the pause is doubled.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// What this VM did for a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Local {
+    /// It knew the job and ended it.
+    Ended,
+    /// It was the entry of the job and answered the clients; this runner must end it.
+    AtRunner(Incarnation),
+    /// It does not know the job.
+    Unknown,
+}
+
+/// Peers to ask, and whether that leaves out a VM that may know the job.
+#[derive(Debug, Default)]
+struct Targets {
+    peers: BTreeSet<(Incarnation, CancelScope)>,
+    is_incomplete: bool,
+}
 
 /// Cancels a job for a client of this VM.
 pub fn request(world: &mut World, cx: &mut Cx<'_>, call: CallId, id: ClientJobId) {
-    let recent = world.recent.get(id);
-    let known = cancel(world, cx, id) || recent == Some(Answer::Cancelled);
-    tracing::info!(job = %id, known, ?recent, "a client cancelled the job");
-    if !known && recent.is_none() {
-        world.stats.cancels_passed_on += 1;
-        let may_ask = !world.topology.is_relay;
-        tell_peers(world, cx, None, id, if may_ask { PASSED_ON_BY } else { 0 });
+    world.stats.cancels += 1;
+    for row in world.cancellations.of_job_mut(id) {
+        if let Asker::Clients(calls) = &mut row.asker {
+            calls.push(call);
+            return;
+        }
+    }
+    let local = cancel(world, cx, id);
+    tracing::info!(job = %id, ?local, "a client cancels the job");
+    let clients = Asker::Clients(vec![call]);
+    match local {
+        Local::Ended => finish(world, cx, id, &clients, CancelOutcome::Cancelled),
+        Local::AtRunner(peer) => {
+            tell_all_holders(world, cx.now, id);
+            wait_for_runner(world, cx, id, clients, peer);
+        }
+        Local::Unknown if world.cancel_marks.is_found(cx.now, id) => {
+            acknowledge(world, cx, id, &[call], CancelOutcome::Cancelled);
+        }
+        Local::Unknown if has_ended(world, id) => {
+            acknowledge(world, cx, id, &[call], CancelOutcome::Unknown);
+        }
+        Local::Unknown => ask_locals(world, cx, id, clients),
     }
-    cx.emit(Action::Acknowledge { call, known });
 }
 
-/// Handles a peer's message that a job was cancelled.
-pub fn handle(
+/// Handles a peer's requests to cancel jobs.
+pub fn handle_requests(
     world: &mut World,
     cx: &mut Cx<'_>,
     from: Incarnation,
-    id: ClientJobId,
-    pass_on: bool,
+    requests: &[CancelRequest],
 ) {
-    let is_news = world.recent.get(id).is_none();
-    if !cancel(world, cx, id) && is_news && pass_on {
-        tell_peers(world, cx, Some(from), id, 0);
+    for &CancelRequest { job, scope } in requests {
+        let outcome = match cancel(world, cx, job) {
+            Local::Ended => CancelOutcome::Cancelled,
+            Local::AtRunner(peer) if peer == from => CancelOutcome::Cancelled,
+            Local::AtRunner(peer) => {
+                wait_for_runner(world, cx, job, Asker::Peer(from, scope), peer);
+                continue;
+            }
+            Local::Unknown if world.cancel_marks.is_found(cx.now, job) => CancelOutcome::Cancelled,
+            Local::Unknown if scope == CancelScope::Receiver || has_ended(world, job) => {
+                CancelOutcome::Unknown
+            }
+            Local::Unknown => {
+                ask_for_peer(world, cx, job, from, scope);
+                continue;
+            }
+        };
+        reply(world, from, job, scope, outcome);
+    }
+}
+
+/// Handles a peer's replies.
+pub fn handle_replies(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    from: Incarnation,
+    replies: &[CancelReply],
+) {
+    for reply in replies {
+        let mut is_found = false;
+        for row in world.cancellations.of_job_mut(reply.job) {
+            if !row.waiting.remove(&(from, reply.scope)) {
+                continue;
+            }
+            row.is_incomplete |= reply.outcome == CancelOutcome::Incomplete;
+            is_found |= reply.outcome == CancelOutcome::Cancelled;
+        }
+        if is_found {
+            finish_found(world, cx, reply.job);
+        } else {
+            settle(world, cx, reply.job);
+        }
+    }
+}
+
+/// Handles a peer's marks of jobs that were found and cancelled.
+pub fn handle_marks(world: &mut World, cx: &mut Cx<'_>, from: Incarnation, marks: &[CancelMark]) {
+    for mark in marks.iter().filter(|mark| mark.age < RETENTION) {
+        let at = cx.now.minus(mark.age);
+        let row = Mark { at, is_found: true };
+        let is_news = world.cancel_marks.insert(cx.now, mark.job, row);
+        if let Local::AtRunner(peer) = end(world, cx, mark.job) {
+            ask(world, mark.job, peer, CancelScope::Receiver);
+        }
+        if is_news {
+            tell(world, cx.now, Some(from), mark.job, at, mark.scope);
+        }
+    }
+}
+
+/// Handles the loss of a connection: the peer's replies won't come. A runner is still waited for, since
+/// its leases for the job end.
+pub fn handle_peer_loss(world: &mut World, cx: &mut Cx<'_>, peer: Incarnation) {
+    for row in world.cancellations.iter_mut() {
+        let waits = |row: &Cancellation| row.waiting.iter().any(|(vm, _)| *vm == peer);
+        if row.stage != Stage::Runner && waits(row) {
+            row.waiting.retain(|(vm, _)| *vm != peer);
+            row.is_incomplete = true;
+        }
+    }
+    settle_all(world, cx);
+}
+
+/// Tells a peer that has just connected of the newest marks.
+pub fn report_to(world: &mut World, now: Time, to: Incarnation) {
+    let is_local = to.data_centre == world.me.data_centre;
+    let scope = if is_local {
+        CancelScope::Receiver
+    } else {
+        CancelScope::DataCentre
+    };
+    let newest = world.cancel_marks.newest_found().take(MAX_REPORTED_MARKS);
+    let newest = newest.map(|(job, mark)| CancelMark {
+        job,
+        scope,
+        age: now.since(mark.at),
+    });
+    let newest: Vec<CancelMark> = newest.collect();
+    if !newest.is_empty() {
+        let rows = world.cancel_outbox.marks.entry(to).or_default();
+        rows.extend(newest);
+    }
+}
+
+/// Ends the waits that have reached their limits, and begins the attempts that are due.
+pub fn run(world: &mut World, cx: &mut Cx<'_>) {
+    if world.cancellations.len() == 0 {
+        return;
+    }
+    let max_orphan = world.policy.max_orphan_duration();
+    for row in world.cancellations.iter_mut() {
+        let limit = match (row.stage, &row.asker) {
+            (Stage::Runner, _) => max_orphan,
+            (Stage::Locals, _) => LOCALS_LIMIT,
+            (Stage::All, Asker::Clients(_)) => ATTEMPT_LIMIT,
+            (Stage::All, Asker::Peer(_, CancelScope::System)) => SYSTEM_LIMIT,
+            (Stage::All, Asker::Peer(..)) => DATA_CENTRE_LIMIT,
+            (Stage::Pause(_), _) => continue,
+        };
+        if !row.waiting.is_empty() && cx.now.since(row.stage_at) >= limit {
+            row.is_incomplete = true;
+            row.waiting.clear();
+        }
+    }
+    settle_all(world, cx);
+}
+
+/// Sends what the tick has left for the peers.
+pub fn send(world: &mut World, cx: &mut Cx<'_>) {
+    let outbox = std::mem::take(&mut world.cancel_outbox);
+    send_rows(cx, outbox.requests, Message::Cancel);
+    send_rows(cx, outbox.replies, Message::CancelReplies);
+    send_rows(cx, outbox.marks, Message::CancelMarks);
+}
+
+/// Answers all clients that wait for the outcome of a cancellation. Used when this VM closes.
+pub fn close(world: &mut World, cx: &mut Cx<'_>) {
+    for job in world.cancellations.jobs() {
+        for row in world.cancellations.take(job) {
+            finish(world, cx, job, &row.asker, CancelOutcome::Incomplete);
+        }
     }
+    send(world, cx);
 }
 
-/// Cancels a job if this VM is its entry or its runner: answers its clients and stops its runs.
-/// Remembers the cancellation, since the job may be submitted again. Returns whether this VM knew
-/// the job.
-fn cancel(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) -> bool {
+/// Returns the answer to a submission of a cancelled job; `None` if it was not cancelled. Nothing of a
+/// job that no VM knew has run.
+pub fn check_submission(world: &World, now: Time, id: ClientJobId) -> Option<Answer> {
+    let mark = world.cancel_marks.get(now, id)?;
+    Some(if mark.is_found {
+        Answer::Cancelled
+    } else {
+        Answer::Refused {
+            cause: RefusalCause::CancelledBefore,
+            retry_after: RETENTION.saturating_sub(now.since(mark.at)),
+        }
+    })
+}
+
+/// Ends a job if this VM is its entry or its runner, and marks it.
+fn cancel(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) -> Local {
+    let local = end(world, cx, id);
+    if local != Local::Unknown || !has_ended(world, id) {
+        let is_found = local != Local::Unknown;
+        let mark = Mark {
+            at: cx.now,
+            is_found,
+        };
+        world.cancel_marks.insert(cx.now, id, mark);
+    }
+    local
+}
+
+/// Ends a job if this VM is its entry or its runner: answers its clients and stops its runs.
+fn end(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) -> Local {
     let entry = world.entries.get(&id).map(|row| row.runner);
-    let known = entry.is_some() || world.jobs.contains_key(&id);
-    if let Some(Some(runner)) = entry
-        && runner != world.me
-    {
-        cx.emit(Action::Send {
-            to: runner,
-            message: Message::Cancel {
-                job: id,
-                pass_on: false,
-            },
-        });
+    let is_known = entry.is_some() || world.jobs.contains_key(&id);
+    if !is_known {
+        return Local::Unknown;
     }
     runner::end_job(world, cx, id, Answer::Cancelled);
     entry::answer_clients(world, cx, id, Answer::Cancelled);
-    if world.recent.get(id).is_none() {
-        world.recent.insert(cx.now, id, Answer::Cancelled);
+    match entry.flatten() {
+        Some(peer) if peer != world.me => Local::AtRunner(peer),
+        _ => Local::Ended,
     }
-    known
 }
 
-/// Tells the peers of this data centre of a cancellation. The first `relays` relays among them pass
-/// it on.
-fn tell_peers(
-    world: &World,
+/// Returns whether a job is known to have ended by itself.
+fn has_ended(world: &World, id: ClientJobId) -> bool {
+    let recent = world.recent.get(id);
+    matches!(recent, Some(Answer::Completed | Answer::Failed))
+}
+
+/// Asks the runner of a job to end it.
+fn wait_for_runner(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    job: ClientJobId,
+    asker: Asker,
+    peer: Incarnation,
+) {
+    ask(world, job, peer, CancelScope::Receiver);
+    let mut row = Cancellation::new(cx.now, asker, Stage::Runner);
+    row.waiting.insert((peer, CancelScope::Receiver));
+    add(world, cx, job, row);
+}
+
+/// Asks the relays and standbys of this data centre, for a client. They hold its workers.
+fn ask_locals(world: &mut World, cx: &mut Cx<'_>, job: ClientJobId, clients: Asker) {
+    let mut row = Cancellation::new(cx.now, clients, Stage::Locals);
+    row.waiting = holders(world, world.me.data_centre)
+        .map(|peer| (peer, CancelScope::Receiver))
+        .collect();
+    ask_waiting(world, job, &row);
+    add(world, cx, job, row);
+    settle(world, cx, job);
+}
+
+/// Asks the VMs that a peer's request covers.
+fn ask_for_peer(
+    world: &mut World,
     cx: &mut Cx<'_>,
+    job: ClientJobId,
+    from: Incarnation,
+    scope: CancelScope,
+) {
+    let asker = Asker::Peer(from, scope);
+    for row in world.cancellations.take(job) {
+        // A repeated request replaces the earlier one.
+        if row.asker != asker {
+            world.cancellations.insert(job, row);
+        }
+    }
+    let targets = targets(world, cx.now, Some(from), scope);
+    let mut row = Cancellation::new(cx.now, asker, Stage::All);
+    row.waiting = targets.peers;
+    row.is_incomplete = targets.is_incomplete;
+    ask_waiting(world, job, &row);
+    add(world, cx, job, row);
+    settle(world, cx, job);
+}
+
+/// Asks all VMs for a client: through a relay, a different one at each attempt, or directly if this VM
+/// is the relay.
+fn ask_all(world: &mut World, cx: &Cx<'_>, job: ClientJobId, row: &mut Cancellation) {
+    let own = world.topology.is_relay.then_some(world.me);
+    let relays = world.peers.iter().filter(|(peer, row)| {
+        row.linked && row.is_relay() && peer.data_centre == world.me.data_centre
+    });
+    let relays = own.into_iter().chain(relays.map(|(&peer, _)| peer));
+    let relays: Vec<Incarnation> = relays.collect();
+    let relay = relays.get(row.attempts as usize % relays.len().max(1));
+    let targets = match relay {
+        Some(&relay) if relay == world.me => targets(world, cx.now, None, CancelScope::System),
+        Some(&relay) => Targets {
+            peers: BTreeSet::from([(relay, CancelScope::System)]),
+            is_incomplete: false,
+        },
+        None => Targets {
+            is_incomplete: true,
+            ..Targets::default()
+        },
+    };
+    if row.attempts == 0 {
+        world.stats.cancels_passed_on += 1;
+    }
+    row.attempts += 1;
+    row.stage = Stage::All;
+    row.stage_at = cx.now;
+    row.waiting = targets.peers;
+    row.is_incomplete = targets.is_incomplete;
+    ask_waiting(world, job, row);
+}
+
+/// Returns the peers that a request with this scope is passed on to.
+fn targets(world: &World, now: Time, from: Option<Incarnation>, scope: CancelScope) -> Targets {
+    let mut targets = Targets {
+        peers: BTreeSet::new(),
+        is_incomplete: !world.directory.is_listed(),
+    };
+    let is_local = |data_centre: DataCentreId| data_centre == world.me.data_centre;
+    for (&peer, row) in &world.peers {
+        if row.linked && is_local(peer.data_centre) && Some(peer) != from {
+            targets.peers.insert((peer, CancelScope::Receiver));
+        }
+    }
+    targets.is_incomplete |= world.directory.iter().any(|entry| {
+        let row = world.peer_of_vm(entry.data_centre, entry.vm);
+        is_local(entry.data_centre)
+            && !row.is_some_and(|row| row.linked)
+            && topology::may_be_alive(world, now, entry)
+    });
+    if scope != CancelScope::System {
+        return targets;
+    }
+    let position = relay_position(world);
+    for (data_centre, relays) in remote_relays(world) {
+        if is_local(data_centre) {
+            continue;
+        }
+        targets.is_incomplete |= relays.is_empty();
+        for (i, &relay) in relays.iter().enumerate() {
+            // The relays of a data centre ask through different ones.
+            let scope = if i == position % relays.len() {
+                CancelScope::DataCentre
+            } else {
+                CancelScope::Receiver
+            };
+            targets.peers.insert((relay, scope));
+        }
+    }
+    targets
+}
+
+/// Returns the position of this VM among the relays of its data centre.
+fn relay_position(world: &World) -> usize {
+    let mut relays = world.topology.relays.iter();
+    relays.position(|&vm| vm == world.me.vm).unwrap_or_default()
+}
+
+/// Returns the connected relays of the other data centres, also of those without any.
+fn remote_relays(world: &World) -> BTreeMap<DataCentreId, Vec<Incarnation>> {
+    let mut by_data_centre: BTreeMap<DataCentreId, Vec<Incarnation>> = BTreeMap::new();
+    for entry in world.directory.iter() {
+        by_data_centre.entry(entry.data_centre).or_default();
+    }
+    for (&peer, row) in &world.peers {
+        if row.linked && row.is_relay() {
+            by_data_centre
+                .entry(peer.data_centre)
+                .or_default()
+                .push(peer);
+        }
+    }
+    by_data_centre.remove(&world.me.data_centre);
+    by_data_centre
+}
+
+/// Iterates over the connected VMs of a data centre that hold its workers or may do so next.
+fn holders(world: &World, data_centre: DataCentreId) -> impl Iterator<Item = Incarnation> {
+    let is_holder = move |peer: &Incarnation, row: &Peer| {
+        let follows = world.topology.followers.contains(&peer.vm);
+        row.linked && peer.data_centre == data_centre && (follows || row.is_relay())
+    };
+    let peers = world.peers.iter();
+    peers.filter_map(move |(peer, row)| is_holder(peer, row).then_some(*peer))
+}
+
+/// Tells the holders of all data centres of a job that was found and cancelled at this time.
+fn tell_all_holders(world: &mut World, now: Time, job: ClientJobId) {
+    if world.topology.is_relay {
+        tell(world, now, None, job, now, CancelScope::System);
+        return;
+    }
+    let peers: Vec<Incarnation> = holders(world, world.me.data_centre).collect();
+    let mut relays = 0;
+    for peer in peers {
+        let is_relay = world.peers.get(&peer).is_some_and(Peer::is_relay);
+        let scope = if is_relay && relays < PASSED_ON_BY {
+            relays += 1;
+            CancelScope::System
+        } else {
+            CancelScope::Receiver
+        };
+        push_mark(world, now, peer, job, now, scope);
+    }
+}
+
+/// Passes a mark on to the holders that its scope covers.
+fn tell(
+    world: &mut World,
+    now: Time,
     from: Option<Incarnation>,
-    id: ClientJobId,
-    relays: usize,
+    job: ClientJobId,
+    at: Time,
+    scope: CancelScope,
 ) {
-    let data_centre = world.me.data_centre;
-    let peers = world.peers.iter().filter(|(peer, row)| {
-        row.linked && peer.data_centre == data_centre && Some(**peer) != from
+    if scope == CancelScope::Receiver {
+        return;
+    }
+    let locals: Vec<Incarnation> = holders(world, world.me.data_centre).collect();
+    for peer in locals.into_iter().filter(|&peer| Some(peer) != from) {
+        push_mark(world, now, peer, job, at, CancelScope::Receiver);
+    }
+    if scope != CancelScope::System {
+        return;
+    }
+    let position = relay_position(world);
+    for relays in remote_relays(world).into_values() {
+        let count = relays.len();
+        for (i, relay) in relays.into_iter().enumerate() {
+            let passes_on = (i + count - position % count) % count < PASSED_ON_BY;
+            let scope = if passes_on {
+                CancelScope::DataCentre
+            } else {
+                CancelScope::Receiver
+            };
+            push_mark(world, now, relay, job, at, scope);
+        }
+    }
+}
+
+fn push_mark(
+    world: &mut World,
+    now: Time,
+    to: Incarnation,
+    job: ClientJobId,
+    at: Time,
+    scope: CancelScope,
+) {
+    let age = now.since(at);
+    let rows = world.cancel_outbox.marks.entry(to).or_default();
+    rows.push(CancelMark { job, scope, age });
+}
+
+fn ask(world: &mut World, job: ClientJobId, to: Incarnation, scope: CancelScope) {
+    let rows = world.cancel_outbox.requests.entry(to).or_default();
+    rows.push(CancelRequest { job, scope });
+}
+
+fn ask_waiting(world: &mut World, job: ClientJobId, row: &Cancellation) {
+    for &(peer, scope) in &row.waiting {
+        ask(world, job, peer, scope);
+    }
+}
+
+fn reply(
+    world: &mut World,
+    to: Incarnation,
+    job: ClientJobId,
+    scope: CancelScope,
+    outcome: CancelOutcome,
+) {
+    let rows = world.cancel_outbox.replies.entry(to).or_default();
+    rows.push(CancelReply {
+        job,
+        scope,
+        outcome,
     });
-    let mut asked = 0;
-    for (&to, row) in peers {
-        let pass_on = row.is_relay() && asked < relays;
-        asked += usize::from(pass_on);
-        cx.emit(Action::Send {
-            to,
-            message: Message::Cancel { job: id, pass_on },
-        });
+}
+
+/// Adds an open cancellation. Its outcome is not waited for if there are too many.
+fn add(world: &mut World, cx: &mut Cx<'_>, job: ClientJobId, row: Cancellation) {
+    if world.cancellations.is_full() {
+        finish(world, cx, job, &row.asker, CancelOutcome::Incomplete);
+    } else {
+        world.cancellations.insert(job, row);
+    }
+}
+
+fn settle_all(world: &mut World, cx: &mut Cx<'_>) {
+    for job in world.cancellations.jobs() {
+        settle(world, cx, job);
+    }
+}
+
+/// Ends the cancellations of a job that have their outcome, and begins the next stage of others.
+fn settle(world: &mut World, cx: &mut Cx<'_>, job: ClientJobId) {
+    for mut row in world.cancellations.take(job) {
+        match settle_row(world, cx, job, &mut row) {
+            Some(outcome) => finish(world, cx, job, &row.asker, outcome),
+            None => world.cancellations.insert(job, row),
+        }
+    }
+}
+
+/// Returns the outcome of a cancellation, or begins its next stage if one is due.
+fn settle_row(
+    world: &mut World,
+    cx: &Cx<'_>,
+    job: ClientJobId,
+    row: &mut Cancellation,
+) -> Option<CancelOutcome> {
+    let is_for_clients = matches!(row.asker, Asker::Clients(_));
+    let is_late = cx.now.since(row.begun_at) >= CLIENT_LIMIT;
+    if is_for_clients && is_late && row.stage != Stage::Runner {
+        return Some(CancelOutcome::Incomplete);
+    }
+    loop {
+        match row.stage {
+            Stage::Pause(until) if cx.now < until => return None,
+            Stage::Runner | Stage::Locals | Stage::All if !row.waiting.is_empty() => return None,
+            Stage::Runner => return Some(CancelOutcome::Cancelled),
+            Stage::All if !row.is_incomplete => return Some(CancelOutcome::Unknown),
+            Stage::All if !is_for_clients => return Some(CancelOutcome::Incomplete),
+            Stage::All => {
+                let doublings = row.attempts.saturating_sub(1).min(MAX_DOUBLINGS);
+                row.stage = Stage::Pause(cx.now + FIRST_PAUSE * (1 << doublings));
+            }
+            Stage::Locals | Stage::Pause(_) => ask_all(world, cx, job, row),
+        }
+    }
+}
+
+/// Ends all cancellations of a job that some VM has ended.
+fn finish_found(world: &mut World, cx: &mut Cx<'_>, job: ClientJobId) {
+    for row in world.cancellations.take(job) {
+        finish(world, cx, job, &row.asker, CancelOutcome::Cancelled);
+    }
+}
+
+fn finish(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    job: ClientJobId,
+    asker: &Asker,
+    outcome: CancelOutcome,
+) {
+    let is_found = outcome == CancelOutcome::Cancelled;
+    let mark = Mark {
+        at: cx.now,
+        is_found,
+    };
+    if is_found {
+        world.cancel_marks.insert(cx.now, job, mark);
+    }
+    match asker {
+        Asker::Clients(calls) => {
+            if is_found {
+                tell_all_holders(world, cx.now, job);
+            }
+            acknowledge(world, cx, job, calls, outcome);
+        }
+        Asker::Peer(peer, scope) => reply(world, *peer, job, *scope, outcome),
+    }
+}
+
+fn acknowledge(
+    world: &mut World,
+    cx: &mut Cx<'_>,
+    job: ClientJobId,
+    calls: &[CallId],
+    outcome: CancelOutcome,
+) {
+    let stats = &mut world.stats;
+    let count = match outcome {
+        CancelOutcome::Cancelled => &mut stats.cancels_found,
+        CancelOutcome::Unknown => &mut stats.cancels_unknown,
+        CancelOutcome::Incomplete => &mut stats.cancels_incomplete,
+    };
+    *count += calls.len() as u64;
+    if outcome == CancelOutcome::Incomplete {
+        tracing::warn!(%job, "not all VMs could be asked to cancel the job");
+    } else {
+        tracing::info!(%job, ?outcome, "cancellation acknowledged");
+    }
+    for &call in calls {
+        cx.emit(Action::Acknowledge { call, outcome });
+    }
+}
+
+fn send_rows<T: Clone>(
+    cx: &mut Cx<'_>,
+    rows: BTreeMap<Incarnation, Vec<T>>,
+    message: impl Fn(Vec<T>) -> Message,
+) {
+    for (to, rows) in rows {
+        for rows in rows.chunks(MAX_MESSAGE_ROWS) {
+            let message = message(rows.to_vec());
+            cx.emit(Action::Send { to, message });
+        }
     }
 }
--- a/crates/core/src/guarded/systems/entry.rs
+++ b/crates/core/src/guarded/systems/entry.rs
@@ -36,7 +36,8 @@
         return;
     }
     let id = job.id;
-    let cancelled = world.recent.get(id) == Some(Answer::Cancelled);
+    let cancelled =
+        world.recent.get(id) == Some(Answer::Cancelled) || world.cancel_marks.is_found(cx.now, id);
     let row = EntryJob {
         job,
         calls: vec![call],
@@ -145,7 +146,10 @@
                 Some(choice.runner) != row.runner && choice.wait.saturating_mul(2) < retry_after
             })
         }
-        RefusalCause::Impossible | RefusalCause::NoRunner | RefusalCause::Contained => false,
+        RefusalCause::Impossible
+        | RefusalCause::NoRunner
+        | RefusalCause::Contained
+        | RefusalCause::CancelledBefore => false,
     }
 }
 
--- a/crates/core/src/guarded/systems/peers.rs
+++ b/crates/core/src/guarded/systems/peers.rs
@@ -3,7 +3,7 @@
 //! A lost connection ends the jobs that depend on it, but the peer counts as gone only once it has
 //! been silent for its limit, or refuses connections.
 
-use super::{entry, evacuations, heartbeats, runner, start_reports, suspect_reports};
+use super::{cancels, entry, evacuations, heartbeats, runner, start_reports, suspect_reports};
 use crate::guarded::action::Action;
 use crate::guarded::model::message::{Heartbeat, RemoteHolder};
 use crate::guarded::tables::peer::Peer;
@@ -29,6 +29,7 @@
     heartbeats::send(world, cx, &[peer]);
     suspect_reports::report_to(world, cx, peer);
     start_reports::report_to(world, cx, peer);
+    cancels::report_to(world, cx.now, peer);
 }
 
 /// Removes the peers that ran on the same VM before: a process that has started anew knows nothing
@@ -53,6 +54,7 @@
     }
     runner::handle_origin_loss(world, cx, peer);
     entry::handle_runner_loss(world, cx, peer);
+    cancels::handle_peer_loss(world, cx, peer);
 }
 
 /// Handles a refused connection: the process on this VM has ended.
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,7 +1,7 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
 use super::{
-    cell_assignment, containment, crashes, evacuations, quarantine, start_reports,
+    cancels, cell_assignment, containment, crashes, evacuations, quarantine, start_reports,
     starts_in_flight, stops, suspect_reports,
 };
 use crate::guarded::action::Action;
@@ -46,7 +46,8 @@
     if let Some(peer) = world.peers.get_mut(&origin) {
         peer.record_job(cx.now);
     }
-    if let Some(answer) = world.recent.get(id) {
+    let cancelled = cancels::check_submission(world, cx.now, id);
+    if let Some(answer) = cancelled.or_else(|| world.recent.get(id)) {
         answer_origin(world, cx, origin, id, answer);
         return;
     }
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -33,7 +33,8 @@
 pub fn interval(world: &World) -> Duration {
     let is_runner = world.topology.is_relay || !world.workers.is_empty() || !world.jobs.is_empty();
     let mut entries = world.entries.values();
-    if is_runner || entries.any(|row| row.runner.is_none()) {
+    let has_cancels = world.cancellations.len() > 0;
+    if is_runner || has_cancels || entries.any(|row| row.runner.is_none()) {
         PEER_CHECK_INTERVAL
     } else if !world.entries.is_empty() {
         ENTRY_INTERVAL
--- a/crates/core/src/guarded/systems/topology.rs
+++ b/crates/core/src/guarded/systems/topology.rs
@@ -197,7 +197,7 @@
 }
 
 /// Returns whether a VM is alive or expected to connect.
-fn may_be_alive(world: &World, now: Time, entry: &VmEntry) -> bool {
+pub fn may_be_alive(world: &World, now: Time, entry: &VmEntry) -> bool {
     world.peer_of_vm(entry.data_centre, entry.vm).map_or_else(
         || world.directory.is_expected(entry.vm, now),
         |row| !row.is_gone(now, &world.policy),
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -1,6 +1,8 @@
 //! Tables that the systems work on.
 
 pub mod bulkhead;
+pub mod cancel_marks;
+pub mod cancellation;
 pub mod entry_job;
 pub mod estimator;
 pub mod evacuation;
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -11,6 +11,8 @@
 use super::stats::Stats;
 use super::systems::crashes::WorkerLoss;
 use super::tables::bulkhead::Bulkhead;
+use super::tables::cancel_marks::CancelMarks;
+use super::tables::cancellation::{CancelOutbox, Cancellations};
 use super::tables::entry_job::EntryJob;
 use super::tables::estimator::Estimator;
 use super::tables::evacuation::EvacuationTable;
@@ -130,6 +132,12 @@
     /// Number of runs per task that are present or may be, on any worker.
     pub present_runs: FastMap<TaskId, u32>,
     pub recent: RecentOutcomes,
+    /// Jobs that clients cancelled recently.
+    pub cancel_marks: CancelMarks,
+    /// Cancellations that wait for other VMs.
+    pub cancellations: Cancellations,
+    /// What `systems::cancels` sends to the peers.
+    pub cancel_outbox: CancelOutbox,
     /// Starts that no worker answered, of this VM and of others.
     pub starts_in_flight: StartsInFlight,
     /// What `systems::starts_in_flight` tells other VMs.
@@ -207,6 +215,9 @@
             jobs: FastMap::default(),
             present_runs: FastMap::default(),
             recent: RecentOutcomes::default(),
+            cancel_marks: CancelMarks::default(),
+            cancellations: Cancellations::default(),
+            cancel_outbox: CancelOutbox::default(),
             starts_in_flight: StartsInFlight::default(),
             start_reports: Vec::new(),
             start_report_origins: BTreeSet::new(),
--- a/crates/core/tests/guarded/history.rs
+++ b/crates/core/tests/guarded/history.rs
@@ -1,6 +1,7 @@
 //! History of what clients and workers observe, and the invariants that it must satisfy.
 
 use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::cancel::CancelOutcome;
 use cardamomslip_core::guarded::model::ids::{ClientJobId, TaskId};
 use cardamomslip_core::guarded::model::job::Job;
 use cardamomslip_core::guarded::model::reply::RunEnd;
@@ -57,6 +58,10 @@
     active: BTreeMap<TaskId, BTreeMap<usize, u64>>,
     /// Crashes of workers by the tasks that ran there.
     pub crashes: BTreeMap<TaskId, CrashRecord>,
+    /// Jobs that a client asked to cancel.
+    pub cancel_requests: BTreeSet<ClientJobId>,
+    /// First acknowledgement of the cancellation of a job that was known, in microseconds.
+    pub cancelled_at: BTreeMap<ClientJobId, u64>,
     /// Whether a worker ever failed runs.
     pub has_failing_workers: bool,
     /// Latest configuration version, by VM and its boot.
@@ -66,6 +71,9 @@
 /// Maximum time that a run may continue after its client stopped waiting, in microseconds: the
 /// sum of peer silence, lease and stop time in the worst case, with some slack for latency.
 const MAX_ORPHAN_DURATION: u64 = 1_300_000;
+/// Maximum time from the acknowledgement of a cancellation to the last start, in microseconds: the
+/// platform's limit for small deployments.
+const MAX_CANCEL_DELAY: u64 = 3_000_000;
 
 impl History {
     /// Records that a worker started a task. Panics if the task runs on another worker as well, or
@@ -98,6 +106,29 @@
         }
     }
 
+    /// Records the outcome of a cancellation. Panics if a job is acknowledged as cancelled that no
+    /// client submitted.
+    pub fn record_cancel_ack(&mut self, now: u64, id: ClientJobId, outcome: CancelOutcome) {
+        if outcome == CancelOutcome::Cancelled {
+            assert!(
+                self.jobs.contains_key(&id),
+                "{id} was acknowledged as cancelled at {now} without a submission"
+            );
+            self.cancelled_at.entry(id).or_insert(now);
+        }
+    }
+
+    /// Checks that a task does not start too late after the acknowledged cancellation of its job, at a VM
+    /// that has been in contact with the others since `in_contact_since`.
+    pub fn check_cancelled(&self, now: u64, task: TaskId, in_contact_since: u64) {
+        let acked_at = self.cancelled_at.get(&task.job);
+        let acked_at = acked_at.filter(|&&at| at >= in_contact_since);
+        assert!(
+            acked_at.is_none_or(|at| now <= at + MAX_CANCEL_DELAY),
+            "{task:?} started at {now}, its cancellation was acknowledged at {acked_at:?}"
+        );
+    }
+
     /// Returns whether a task crashes each worker that starts it.
     pub fn is_deadly(&self, task: TaskId) -> bool {
         let record = self.jobs.get(&task.job);
@@ -141,6 +172,10 @@
             answer != Answer::Failed || self.has_failing_workers || self.has_crashed_twice(id),
             "{id} failed at {now} without cause"
         );
+        assert!(
+            answer != Answer::Cancelled || self.cancel_requests.contains(&id),
+            "{id} was answered as cancelled at {now}, which no client asked for"
+        );
         let record = self.jobs.get_mut(&id).expect("the job is recorded");
         if answer == Answer::Completed {
             let tasks = usize::try_from(record.job.task_count())
--- a/crates/core/tests/guarded/oracle.rs
+++ b/crates/core/tests/guarded/oracle.rs
@@ -16,6 +16,8 @@
 const MAX_OPERATIONS: usize = 40;
 /// Default number of cases with relays, whose simulations are larger.
 const DEFAULT_RELAY_CASES: u32 = 24;
+/// Maximum time from the acknowledgement of a cancellation to a copy of the submission.
+const COPY_DELAY_MS: u64 = 6_000;
 /// Two data centres in which every VM is a relay.
 const ALL_RELAYS: Shape = Shape {
     vms: 4,
@@ -55,6 +57,13 @@
         work_ms: u64,
         timeout_ms: u64,
     },
+    /// Cancels at a VM the job that was submitted last but `back`.
+    Cancel {
+        vm: usize,
+        back: usize,
+    },
+    /// Submits a late copy of a job whose cancellation was acknowledged.
+    SubmitCopy(usize),
     /// Crashes a worker, which starts again after a while.
     CrashWorker(usize),
     /// Changes the capacity of a worker.
@@ -180,6 +189,8 @@
         2 => (vm.clone(), 1_u32..6, 1_200_u64..8_000, 300_u64..2_500).prop_map(
             |(vm, tasks, work_ms, timeout_ms)| Op::SubmitLong { vm, tasks, work_ms, timeout_ms }
         ),
+        4 => (vm.clone(), 0_usize..4).prop_map(|(vm, back)| Op::Cancel { vm, back }),
+        3 => vm.clone().prop_map(Op::SubmitCopy),
         1 => worker.clone().prop_map(Op::CrashWorker),
         1 => (worker.clone(), 40_u64..100)
             .prop_map(|(worker, percent)| Op::ResizeWorker { worker, percent }),
@@ -324,6 +335,12 @@
             };
             sim.submit_shape(vm, shape);
         }
+        Op::Cancel { vm, back } => {
+            if let Some(id) = sim.recent_job(back).filter(|_| sim.is_up(vm)) {
+                sim.cancel(id, vm);
+            }
+        }
+        Op::SubmitCopy(vm) => sim.submit_copy(vm, COPY_DELAY_MS),
         Op::CrashWorker(worker) => sim.crash_and_restart(worker),
         Op::ResizeWorker { worker, percent } => sim.resize_worker(worker, percent),
         Op::Kill { vm, power } => sim.kill(vm, power),
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -122,6 +122,12 @@
     }
 
     pub(super) fn resend(&mut self, id: ClientJobId) {
+        // A client does not submit a job again that it has cancelled.
+        if self.history.cancelled_at.contains_key(&id) {
+            let record = self.history.jobs.get_mut(&id).expect("the job is recorded");
+            record.client_state = ClientState::Finished(self.now);
+            return;
+        }
         let vm = self
             .resend_vm
             .unwrap_or_else(|| self.rng.random_range(0..self.vms.len()));
@@ -140,10 +146,45 @@
     pub fn cancel(&mut self, id: ClientJobId, vm: usize) -> CallId {
         let call = CallId(self.next_call);
         self.next_call += 1;
+        self.cancel_calls.insert(call, id);
+        self.history.cancel_requests.insert(id);
         self.push_event(self.now + LINK_LATENCY, vm, Event::Cancel { call, job: id });
         call
     }
 
+    pub(super) fn handle_cancel_ack(&mut self, call: CallId, outcome: CancelOutcome) {
+        self.cancel_acks.insert(call, (outcome, self.now));
+        let id = self.cancel_calls[&call];
+        self.history.record_cancel_ack(self.now, id, outcome);
+    }
+
+    /// Submits a copy of the submission of a job whose cancellation was acknowledged `within_ms` ago at
+    /// most. Does nothing if there is none.
+    pub fn submit_copy(&mut self, vm: usize, within_ms: u64) {
+        let since = self.now.saturating_sub(within_ms * MS);
+        let mut cancelled = self.history.cancelled_at.iter();
+        let id = cancelled.find_map(|(&id, &at)| (at >= since).then_some(id));
+        if let Some(id) = id {
+            self.submit_again(id, vm);
+        }
+    }
+
+    /// Returns the id of the job that was submitted last but `back`.
+    pub fn recent_job(&self, back: usize) -> Option<ClientJobId> {
+        self.history.jobs.keys().nth_back(back).copied()
+    }
+
+    pub(super) fn count_cancels(&mut self, message: &Message) {
+        let rows = match message {
+            Message::Cancel(rows) => rows.len(),
+            Message::CancelReplies(rows) => rows.len(),
+            Message::CancelMarks(rows) => rows.len(),
+            _ => return,
+        };
+        self.cancel_messages += 1;
+        self.cancel_rows += rows as u64;
+    }
+
     /// Lets the client disconnect without submitting the job again.
     pub fn abandon(&mut self, id: ClientJobId) {
         self.close_calls(id);
--- a/crates/core/tests/guarded/sim/links.rs
+++ b/crates/core/tests/guarded/sim/links.rs
@@ -131,6 +131,7 @@
     pub fn cut(&mut self, a: usize, b: usize) {
         if a != b {
             self.cut.insert((a, b));
+            self.cut_at = self.now;
         }
     }
 
@@ -158,7 +159,10 @@
 
     /// Ends all partitions, request delays and losses of replies and stops, and reconnects the VMs.
     pub fn heal(&mut self) {
-        self.cut.clear();
+        if !self.cut.is_empty() {
+            self.cut.clear();
+            self.cut_at = self.now;
+        }
         self.worker_cut.clear();
         self.delayed_request_ratio = 0.0;
         self.lost_reply_ratio = 0.0;
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -17,6 +17,7 @@
 use crate::worker::{Behaviour, ModelWorker};
 use cardamomslip_core::guarded::action::{Action, Poll};
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause};
+use cardamomslip_core::guarded::model::cancel::CancelOutcome;
 use cardamomslip_core::guarded::model::evacuations::{Evacuation, Evacuations};
 use cardamomslip_core::guarded::model::ids::{
     ClientJobId, FencingToken, QueueId, TaskId, UpstreamId, WorkerId,
@@ -237,8 +238,15 @@
     replaced_workers: BTreeSet<usize>,
     /// Heartbeats that each VM sent and received.
     pub heartbeats: Vec<HeartbeatCount>,
-    /// Acknowledged cancellations, and whether the VM knew the job.
-    pub cancel_acks: BTreeMap<CallId, bool>,
+    /// Outcomes of cancellations and when the client got them.
+    pub cancel_acks: BTreeMap<CallId, (CancelOutcome, u64)>,
+    /// Jobs of the cancellations that clients requested.
+    cancel_calls: BTreeMap<CallId, ClientJobId>,
+    /// Number of messages about cancellations, and of their rows.
+    pub cancel_messages: u64,
+    pub cancel_rows: u64,
+    /// Time of the last cut between VMs or the last time that one ended.
+    cut_at: u64,
     /// Number of starts and stops that each VM sent.
     pub orders: Vec<u64>,
     /// Evacuations that the store has.
@@ -297,6 +305,10 @@
             replaced_workers: BTreeSet::new(),
             heartbeats: vec![HeartbeatCount::default(); shape.vms],
             cancel_acks: BTreeMap::new(),
+            cancel_calls: BTreeMap::new(),
+            cancel_messages: 0,
+            cancel_rows: 0,
+            cut_at: 0,
             orders: vec![0; shape.vms],
             evacuations: Evacuations::new(1),
             configuration_unavailable: false,
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -158,8 +158,8 @@
                     self.handle_answer(id, answer);
                 }
             }
-            Action::Acknowledge { call, known } => {
-                self.cancel_acks.insert(call, known);
+            Action::Acknowledge { call, outcome } => {
+                self.handle_cancel_ack(call, outcome);
             }
             Action::Connect(vms) => self.set_wanted(vm, vms),
             Action::Disconnect(peer) => self.disconnect(vm, peer),
@@ -173,6 +173,7 @@
             }
             Action::Send { to, message } => {
                 self.count_heartbeat(vm, to, &message);
+                self.count_cancels(&message);
                 self.queues_sent += u64::from(matches!(message, Message::Queues(_)));
                 let Some(peer) = (0..self.vms.len()).find(|&p| self.vms[p].me == to) else {
                     return;
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -79,6 +79,13 @@
         self.now >= self.vms[vm].started + CONTACT_TIME
     }
 
+    /// Returns the time since which a VM has been up and no messages between VMs were lost; `None` while
+    /// they are.
+    fn in_contact_since(&self, vm: usize) -> Option<u64> {
+        let is_cut = !self.cut.is_empty();
+        (!is_cut).then_some(self.vms[vm].started.max(self.cut_at))
+    }
+
     /// Crashes a worker, which starts again under the same id after a while. Connections to it are
     /// closed, and its address refuses new ones.
     pub fn crash_and_restart(&mut self, worker: usize) {
@@ -296,6 +303,10 @@
                     self.check_draining(worker, answered);
                     self.check_capacity(worker, answered);
                     let in_touch = self.is_in_touch(vm);
+                    if let Some(since) = self.in_contact_since(vm) {
+                        self.history
+                            .check_cancelled(self.now, start.run.task, since);
+                    }
                     self.history
                         .record_start(self.now, worker, start.run.task, in_touch);
                     if self.history.is_deadly(start.run.task) {
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -179,9 +179,9 @@
                     pending.responder.respond(answer);
                 }
             }
-            Action::Acknowledge { call, known } => {
+            Action::Acknowledge { call, outcome } => {
                 if let Some(pending) = self.calls.remove(&call) {
-                    pending.responder.acknowledge(known);
+                    pending.responder.acknowledge(outcome);
                 }
             }
             Action::Send { to, message } => {
--- a/src/guarded/adapter.rs
+++ b/src/guarded/adapter.rs
@@ -2,6 +2,7 @@
 
 use cardamomslip_core::guarded::action::{Poll, Start};
 use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::cancel::CancelOutcome;
 use cardamomslip_core::guarded::model::evacuations::Evacuations;
 use cardamomslip_core::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use cardamomslip_core::guarded::model::queue::QueueTable;
@@ -15,8 +16,8 @@
     /// Sends the answer to the client.
     fn respond(self, answer: Answer);
 
-    /// Acknowledges to a client that it cancelled a job, which this VM may not have known.
-    fn acknowledge(self, known: bool);
+    /// Tells a client the outcome of its cancellation of a job.
+    fn acknowledge(self, outcome: CancelOutcome);
 }
 
 /// Sends requests to workers. Every request results in an input to the actor, even if the worker
--- a/src/guarded/input.rs
+++ b/src/guarded/input.rs
@@ -4,6 +4,7 @@
 use crate::peers::PeerSink;
 use cardamomslip_core::guarded::Event;
 use cardamomslip_core::guarded::model::answer::{Answer, RefusalCause};
+use cardamomslip_core::guarded::model::cancel::CancelOutcome;
 use cardamomslip_core::guarded::model::ids::ClientJobId;
 use cardamomslip_core::guarded::model::job::Job;
 use cardamomslip_core::guarded::model::message::Message;
@@ -62,7 +63,7 @@
         }
     }
 
-    /// Cancels a job. It is unknown if the actor has ended, which ended all jobs.
+    /// Cancels a job. Other VMs can't be asked if the actor has ended.
     pub fn cancel(&self, responder: A, job: ClientJobId)
     where
         A: JobResponder,
@@ -70,7 +71,7 @@
         if let Err(e) = self.0.send(Input::Cancel(responder, job))
             && let Input::Cancel(responder, _) = e.0
         {
-            responder.acknowledge(false);
+            responder.acknowledge(CancelOutcome::Incomplete);
         }
     }
 
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -64,6 +64,17 @@
         with_local_recorder(&*self.recorder, || {
             counter!("cardamomslip_submitted_total").absolute(stats.submitted);
             counter!("cardamomslip_abandoned_total").absolute(stats.abandoned);
+            counter!("cardamomslip_cancels_total").absolute(stats.cancels);
+            for (outcome, count) in [
+                ("cancelled", stats.cancels_found),
+                ("unknown", stats.cancels_unknown),
+                ("incomplete", stats.cancels_incomplete),
+            ] {
+                counter!("cardamomslip_cancels_answered_total", "outcome" => outcome)
+                    .absolute(count);
+            }
+            gauge!("cardamomslip_open_cancels").set(stats.open_cancels as f64);
+            gauge!("cardamomslip_cancel_marks").set(stats.cancel_marks as f64);
             counter!("cardamomslip_cancels_passed_on_total").absolute(stats.cancels_passed_on);
             counter!("cardamomslip_placed_remote_total").absolute(stats.placed_remote);
             counter!("cardamomslip_starts_total").absolute(stats.starts);
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -3,6 +3,7 @@
 //! Records are CBOR arrays of their fields in a fixed order, as in [`crate::peers`]. Durations are
 //! in microseconds.
 
+mod cancel;
 mod echo;
 mod evacuations;
 mod heartbeat;
@@ -10,6 +11,7 @@
 mod suspect;
 mod task;
 
+use self::cancel::{CancelMarkWire, CancelReplyWire, CancelRequestWire};
 use self::echo::EchoWire;
 use self::heartbeat::HeartbeatWire;
 use self::start::StartReportWire;
@@ -29,6 +31,8 @@
 const MAX_SUSPECT_REPORTS: usize = 1_024;
 /// Maximum number of reports on starts in flight of one message that are read.
 const MAX_START_REPORTS: usize = 1_024;
+/// Maximum number of rows about cancellations of one message that are read.
+const MAX_CANCEL_ROWS: usize = 1_024;
 /// Maximum nesting depth of a frame.
 const MAX_DEPTH: usize = 16;
 
@@ -62,7 +66,11 @@
     #[serde(rename = "w")]
     Withdraw(u64),
     #[serde(rename = "x")]
-    Cancel(u64, bool),
+    Cancel(Vec<CancelRequestWire>),
+    #[serde(rename = "y")]
+    CancelReplies(Vec<CancelReplyWire>),
+    #[serde(rename = "m")]
+    CancelMarks(Vec<CancelMarkWire>),
     #[serde(rename = "a")]
     RequestQueues(u64),
     #[serde(rename = "q")]
@@ -106,13 +114,14 @@
 struct AnswerWire(u8, u8, u64);
 
 /// Refusal causes by wire code.
-const REFUSAL_CAUSES: [RefusalCause; 6] = [
+const REFUSAL_CAUSES: [RefusalCause; 7] = [
     RefusalCause::Overloaded,
     RefusalCause::Impossible,
     RefusalCause::NoRunner,
     RefusalCause::Stopping,
     RefusalCause::Contained,
     RefusalCause::Evacuated,
+    RefusalCause::CancelledBefore,
 ];
 
 /// Loss causes by wire code.
@@ -154,7 +163,11 @@
             ),
             Message::Finished { job, answer } => Self::Finished(job.0, (*answer).into()),
             Message::Withdraw { job } => Self::Withdraw(job.0),
-            Message::Cancel { job, pass_on } => Self::Cancel(job.0, *pass_on),
+            Message::Cancel(rows) => Self::Cancel(rows.iter().map(Into::into).collect()),
+            Message::CancelReplies(rows) => {
+                Self::CancelReplies(rows.iter().map(Into::into).collect())
+            }
+            Message::CancelMarks(rows) => Self::CancelMarks(rows.iter().map(Into::into).collect()),
             Message::RequestQueues { version } => Self::RequestQueues(*version),
             Message::Queues(table) => Self::Queues(
                 table.version,
@@ -186,10 +199,18 @@
             MessageWire::Withdraw(job) => Self::Withdraw {
                 job: ClientJobId(job),
             },
-            MessageWire::Cancel(job, pass_on) => Self::Cancel {
-                job: ClientJobId(job),
-                pass_on,
-            },
+            MessageWire::Cancel(rows) => {
+                let rows = rows.into_iter().take(MAX_CANCEL_ROWS);
+                Self::Cancel(rows.map(TryInto::try_into).collect::<Result<_, _>>()?)
+            }
+            MessageWire::CancelReplies(rows) => {
+                let rows = rows.into_iter().take(MAX_CANCEL_ROWS);
+                Self::CancelReplies(rows.map(TryInto::try_into).collect::<Result<_, _>>()?)
+            }
+            MessageWire::CancelMarks(rows) => {
+                let rows = rows.into_iter().take(MAX_CANCEL_ROWS);
+                Self::CancelMarks(rows.map(TryInto::try_into).collect::<Result<_, _>>()?)
+            }
             MessageWire::RequestQueues(version) => Self::RequestQueues { version },
             MessageWire::Queues(version, max_body_bytes, queues) => {
                 let queues = queues.into_iter().map(Queue::try_from);
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -2,6 +2,9 @@
 
 use cardamomslip::peers::PeerMessage;
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
+use cardamomslip_core::guarded::model::cancel::{
+    CancelMark, CancelOutcome, CancelReply, CancelRequest, CancelScope,
+};
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
 use cardamomslip_core::guarded::model::crash::Evidence;
 use cardamomslip_core::guarded::model::echo::Echo;
@@ -123,6 +126,42 @@
     Message::Finished { job, answer }
 }
 
+const SCOPES: [CancelScope; 3] = [
+    CancelScope::Receiver,
+    CancelScope::DataCentre,
+    CancelScope::System,
+];
+
+fn cancel() -> Message {
+    let job = ClientJobId(8);
+    let rows = SCOPES.map(|scope| CancelRequest { job, scope });
+    Message::Cancel(rows.to_vec())
+}
+
+fn cancel_replies() -> Message {
+    let outcomes = [
+        CancelOutcome::Cancelled,
+        CancelOutcome::Unknown,
+        CancelOutcome::Incomplete,
+    ];
+    let rows = SCOPES.into_iter().zip(outcomes);
+    let rows = rows.map(|(scope, outcome)| CancelReply {
+        job: ClientJobId(u64::MAX),
+        scope,
+        outcome,
+    });
+    Message::CancelReplies(rows.collect())
+}
+
+fn cancel_marks() -> Message {
+    let rows = SCOPES.map(|scope| CancelMark {
+        job: ClientJobId(8),
+        scope,
+        age: Duration::from_micros(5_999_999),
+    });
+    Message::CancelMarks(rows.to_vec())
+}
+
 fn queues() -> Message {
     let queue = Queue {
         name: "r-1".into(),
@@ -201,7 +240,13 @@
 }))]
 #[case::lost(finished(Answer::Lost(LossCause::Paused)))]
 #[case::withdraw(Message::Withdraw { job: ClientJobId(8) })]
-#[case::cancel(Message::Cancel { job: ClientJobId(8), pass_on: true })]
+#[case::cancel(cancel())]
+#[case::cancel_replies(cancel_replies())]
+#[case::cancel_marks(cancel_marks())]
+#[case::cancelled_before(finished(Answer::Refused {
+    cause: RefusalCause::CancelledBefore,
+    retry_after: Duration::from_secs(9),
+}))]
 #[case::cancelled(finished(Answer::Cancelled))]
 #[case::request_queues(Message::RequestQueues { version: 16 })]
 #[case::queues(queues())]
@@ -221,6 +266,18 @@
     assert!(Message::decode(&longer).is_err());
 }
 
+/// Guards against a message with more rows than a sender puts into one: the rest is left out.
+#[test]
+fn rows_about_cancellations_are_limited() {
+    let row = CancelRequest {
+        job: ClientJobId(8),
+        scope: CancelScope::Receiver,
+    };
+    let frame = Message::Cancel(vec![row; 5_000]).encode();
+    let decoded = Message::decode(&frame).expect("a message");
+    assert_eq!(decoded, Message::Cancel(vec![row; 1_024]));
+}
+
 #[rstest]
 #[case::cell_index_out_of_range(heartbeat(4, 4))]
 #[case::cell_count_not_a_power_of_two(heartbeat(3, 1))]
--- a/tests/unread_backlog.rs
+++ b/tests/unread_backlog.rs
@@ -8,6 +8,7 @@
 use cardamomslip::settings::Secret;
 use cardamomslip_core::guarded::action::{Poll, Start};
 use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::model::cancel::CancelOutcome;
 use cardamomslip_core::guarded::model::evacuations::Evacuations;
 use cardamomslip_core::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use cardamomslip_core::guarded::model::queue::QueueTable;
@@ -142,7 +143,7 @@
 
     fn respond(self, _: Answer) {}
 
-    fn acknowledge(self, _: bool) {}
+    fn acknowledge(self, _: CancelOutcome) {}
 }
 
 struct NoWorkers;
