Bound what clients may hold of the memory and the descriptors

Clients made the daemon run out of memory: a head, or empty lines before a request, were kept up to 408 KB for 60 s; a body was kept while its client sent nothing more, for 20 s, and in parts that each held a whole read buffer; the text of a submission was kept until its answer beside the parsed job, which may be ten times as large; and nothing limited the number of connections. Callers lost the VM.

Each listener now has a budget in bytes and one in connections, charged before reading and released when connection and exchange have ended. When it is used up, the connection that makes room is that of the address that holds most, idle longest and furthest from a complete request; a complete request is never given up. A request for which no room can be made is answered 503 with Retry-After before its job exists. Bodies are copied to one buffer that grows with what has arrived. Heads that have begun have a time limit of their own. Sockets of clients have small receive buffers. Metrics and one log line in 500 ms at most report refusals and closes.

Existing tests only got the new field of HttpConfig.

--- a/crates/test/src/http.rs
+++ b/crates/test/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP server of the stand-ins.
 
-use cardamomslip::http::{Exchange, HttpConfig, HttpServer, Reply};
+use cardamomslip::http::{Exchange, HttpConfig, HttpServer, Ingress, Reply};
 use eyre::Result;
 use std::net::SocketAddr;
 use tokio::runtime::Runtime;
@@ -34,6 +34,7 @@
         let config = HttpConfig {
             listen: listen.parse()?,
             body_bytes: MAX_BODY_LEN,
+            ingress: Ingress::default(),
         };
         let server = HttpServer::start(config, runtime.handle(), handle)?;
         Ok(Self { server, runtime })
--- a/src/callers/service.rs
+++ b/src/callers/service.rs
@@ -238,9 +238,10 @@
     let kind = match reply.status {
         413 => "body_too_large",
         408 => "body_timeout",
+        503 => "no_room",
         _ => "unreadable_body",
     };
-    Problem::new(reply.status, kind, reply.body.clone())
+    Problem::new(reply.status, kind, reply.body.clone()).with_retry_after(reply.retry_after)
 }
 
 #[allow(
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::callers::{AuthTable, CallerService};
 use crate::error::{Error, ErrorKind};
 use crate::executors::HttpExecutors;
-use crate::http::{HttpConfig, HttpServer};
+use crate::http::{HttpConfig, HttpServer, Ingress};
 use crate::input::{Input, InputSender};
 use crate::names::{data_centre_id, vm_id};
 use crate::node_actor::{Environment, NodeActor};
@@ -207,6 +207,7 @@
         let http = HttpConfig {
             listen: settings.listen.callers,
             body_bytes: settings.limits.body_bytes,
+            ingress: Ingress::default(),
         };
         let serve = move |exchange| service.serve(exchange);
         let server = HttpServer::start(http, runtime.handle(), serve)?;
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of the dispatcher.
 
-use crate::http::OpenedConnections;
+use crate::http::{IngressStats, OpenedConnections};
 use cardamomslip_core::guarded::Stats;
 use cardamomslip_core::guarded::model::answer::Answer;
 use metrics::{counter, gauge, histogram, with_local_recorder};
@@ -117,6 +117,36 @@
         });
     }
 
+    /// Sets what the clients of a listener hold, and how many were closed or refused.
+    #[allow(clippy::cast_precision_loss, reason = "the limits are far below 2^52")]
+    pub fn record_ingress(&self, listener: &'static str, stats: &IngressStats) {
+        let refused = [
+            ("connections", stats.refused_connections),
+            ("bytes", stats.refused_requests),
+        ];
+        let closed = [
+            ("connections", stats.closed_for_connections),
+            ("bytes", stats.closed_for_bytes),
+            ("head_timeout", stats.closed_by_head_timeout),
+            ("idle_timeout", stats.closed_by_idle_timeout),
+        ];
+        with_local_recorder(&*self.recorder, || {
+            gauge!("cardamomslip_ingress_connections", "listener" => listener)
+                .set(stats.connections as f64);
+            gauge!("cardamomslip_ingress_bytes", "listener" => listener).set(stats.bytes as f64);
+            for (reason, count) in refused {
+                counter!("cardamomslip_ingress_refused_total",
+                    "listener" => listener, "reason" => reason)
+                .absolute(count);
+            }
+            for (reason, count) in closed {
+                counter!("cardamomslip_ingress_closed_total",
+                    "listener" => listener, "reason" => reason)
+                .absolute(count);
+            }
+        });
+    }
+
     /// Counts an entry of the store that can't be used, once for each revision of it.
     pub fn record_invalid_entry(&self, kind: &'static str) {
         with_local_recorder(&*self.recorder, || {
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -1,6 +1,8 @@
 //! A request together with the channel for its response.
 
+use super::ingress::{NoRoom, Permit};
 use hyper::{HeaderMap, Method, StatusCode};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -58,6 +60,7 @@
     headers: HeaderMap,
     body: Result<String, Reply>,
     tx: oneshot::Sender<Reply>,
+    permit: Arc<Permit>,
 }
 
 impl Exchange {
@@ -67,6 +70,7 @@
         head: hyper::http::request::Parts,
         body: Result<String, Reply>,
         tx: oneshot::Sender<Reply>,
+        permit: Arc<Permit>,
     ) -> Self {
         Self {
             method: head.method,
@@ -75,6 +79,7 @@
             headers: head.headers,
             body,
             tx,
+            permit,
         }
     }
 
@@ -114,6 +119,19 @@
         self.body.as_deref()
     }
 
+    /// Drops the headers and the body, and charges `bytes` to the client instead until the response is
+    /// written: the size of what was made of the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room for them.
+    pub fn replace_content(&mut self, bytes: usize) -> Result<(), NoRoom> {
+        self.headers = HeaderMap::new();
+        self.body = Ok(String::new());
+        self.permit.release_request();
+        self.permit.charge_now(bytes)
+    }
+
     /// Returns whether the client has disconnected, so that no response can reach it.
     #[must_use]
     pub fn is_abandoned(&self) -> bool {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,12 +1,20 @@
 //! HTTP server and client connection pool, built on `hyper`.
 
+mod body;
 mod exchange;
+mod ingress;
+mod ingress_budget;
+mod ingress_stream;
+mod ingress_table;
 mod observed;
 mod pool;
 mod read_horizon;
 mod server;
 
 pub use exchange::{Exchange, Reply};
+pub use ingress::{Ingress, NoRoom};
+pub use ingress_budget::{Candidate, Decision, Demand, IngressLimits, Rank, Stage, decide};
+pub use ingress_table::{CloseReason, IngressStats, IngressTable};
 pub use pool::{Connection, OpenedConnections, Pool, PoolError, PooledResponse};
 pub use read_horizon::ReadHorizon;
 pub use server::{HttpConfig, HttpServer};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,38 +1,46 @@
 //! HTTP server whose handler may respond at any time after it has returned.
 
+use super::body::read_body;
 use super::exchange::{Exchange, Reply};
+use super::ingress::{Ingress, Permit};
+use super::ingress_stream::IngressStream;
+use crate::accept_failures::AcceptFailures;
 use crate::error::{Error, ErrorKind};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
 
-/// Time limit for receiving the head of a request; also limits the idle time of a connection.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time limit for receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval between checks for connections whose time has run out.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Bytes that the kernel may receive for a connection before they are read; it keeps twice as many
+/// for its own needs.
+const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
+/// Maximum number of connections that have not been accepted.
+const BACKLOG: u32 = 1_024;
 /// Time limit for requests in progress to finish when the server closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Delay after a failure to accept a connection.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// Configuration of an [`HttpServer`].
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct HttpConfig {
     /// Address to listen on; port 0 selects a free one.
     pub listen: SocketAddr,
     /// Maximum size of a request body in bytes. If a request declares a larger body, it is rejected
     /// before the body is read.
     pub body_bytes: usize,
+    /// Budget that the server's clients are charged to.
+    pub ingress: Ingress,
 }
 
 /// A running HTTP server.
@@ -57,16 +65,15 @@
     ) -> Result<Self, Error> {
         let failed =
             |e: std::io::Error| Error::new(ErrorKind::Listen, format!("{}: {e}", config.listen));
-        let listener = std::net::TcpListener::bind(config.listen).map_err(failed)?;
-        listener.set_nonblocking(true).map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
         let guard = runtime.enter();
-        let listener = TcpListener::from_std(listener).map_err(failed)?;
+        let listener = listen(config.listen).map_err(failed)?;
         drop(guard);
+        let address = listener.local_addr().map_err(failed)?;
+        let server = Server { config, handle };
         let (stop, stop_rx) = oneshot::channel();
         let (stopped_tx, stopped) = oneshot::channel();
         runtime.spawn(async move {
-            accept(listener, config.body_bytes, handle, stop_rx).await;
+            server.accept(listener, stop_rx).await;
             // Sending fails if the server was dropped without being closed.
             let _ = stopped_tx.send(());
         });
@@ -100,75 +107,135 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    body_bytes: usize,
-    handle: impl Fn(Exchange) + Clone + Send + Sync + 'static,
-    mut stop: oneshot::Receiver<()>,
-) {
-    let graceful = GracefulShutdown::new();
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
+/// Opens a listener whose connections have small receive buffers, as these count towards the memory of
+/// the machine.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// What the connections of a server share.
+#[derive(Clone, Debug)]
+struct Server<H> {
+    config: HttpConfig,
+    handle: H,
+}
+
+impl<H: Fn(Exchange) + Clone + Send + Sync + 'static> Server<H> {
+    /// Accepts connections until `stop` resolves.
+    async fn accept(self, listener: TcpListener, mut stop: oneshot::Receiver<()>) {
+        let graceful = GracefulShutdown::new();
+        let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
+        expiry.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut refusals = 0;
+        let mut failures = AcceptFailures::default();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = expiry.tick() => {
+                    self.config.ingress.close_expired();
+                    self.log_refusals(&mut refusals);
+                    continue;
+                }
+                _ = &mut stop => break,
+            };
+            let (stream, address) = match accepted {
+                Ok(accepted) => accepted,
                 Err(e) => {
-                    tracing::warn!(error = %e, "accepting a connection failed");
-                    tokio::time::sleep(ACCEPT_RETRY).await;
+                    failures.wait(&e).await;
                     continue;
                 }
-            },
-            _ = &mut stop => break,
-        };
+            };
+            let admitted = tokio::select! {
+                admitted = self.config.ingress.admit(address.ip()) => admitted,
+                _ = &mut stop => break,
+            };
+            // Dropping the stream closes a connection that is not admitted.
+            if let Ok((permit, closed)) = admitted {
+                self.spawn(stream, permit, closed, &graceful);
+            }
+        }
+        drop(listener);
+        drop(tokio::time::timeout(CLOSE_TIMEOUT, graceful.shutdown()).await);
+    }
+
+    /// Serves a connection until its end, or until `closed` resolves.
+    fn spawn(
+        &self,
+        stream: TcpStream,
+        permit: Arc<Permit>,
+        closed: oneshot::Receiver<()>,
+        graceful: &GracefulShutdown,
+    ) {
         // If this fails, the connection still works, with higher latency.
         let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
-        let service = service_fn(move |req| serve(req, body_bytes, handle.clone()));
+        let (handle, body_bytes) = (self.handle.clone(), self.config.body_bytes);
+        let service_permit = Arc::clone(&permit);
+        let service = service_fn(move |req| {
+            serve(req, body_bytes, Arc::clone(&service_permit), handle.clone())
+        });
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
+            .max_buf_size(self.config.ingress.limits().head_bytes)
+            .serve_connection(TokioIo::new(IngressStream::new(stream, permit)), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                tracing::debug!(error = %e, "connection of a client failed");
+            tokio::select! {
+                result = connection => if let Err(e) = result {
+                    tracing::debug!(error = %e, "connection of a client failed");
+                },
+                _ = closed => tracing::debug!("connection of a client closed: no room for it"),
             }
         });
     }
-    drop(listener);
-    drop(tokio::time::timeout(CLOSE_TIMEOUT, graceful.shutdown()).await);
+
+    /// Logs whether clients were refused since the last time.
+    fn log_refusals(&self, known: &mut u64) {
+        let stats = self.config.ingress.stats();
+        if stats.refusals() == *known {
+            return;
+        }
+        *known = stats.refusals();
+        tracing::warn!(
+            listen = %self.config.listen,
+            connections = stats.connections,
+            bytes = stats.bytes,
+            refused_connections = stats.refused_connections,
+            refused_requests = stats.refused_requests,
+            closed_for_connections = stats.closed_for_connections,
+            closed_for_bytes = stats.closed_for_bytes,
+            closed_by_head_timeout = stats.closed_by_head_timeout,
+            closed_by_idle_timeout = stats.closed_by_idle_timeout,
+            "clients were refused; the numbers are totals"
+        );
+    }
 }
 
 async fn serve(
     req: Request<Incoming>,
     body_bytes: usize,
+    permit: Arc<Permit>,
     handle: impl Fn(Exchange),
 ) -> Result<Response<String>, Infallible> {
     let (head, body) = req.into_parts();
-    let body = read_body(body, body_bytes).await;
+    let body = read_body(body, body_bytes, &permit).await;
+    if !permit.begin_service() {
+        // The connection is about to be dropped, and this future with it.
+        std::future::pending::<()>().await;
+    }
     // The rest of a rejected body is not read, so the connection can't be reused.
     let rejected = body.is_err();
     let (tx, rx) = oneshot::channel();
-    handle(Exchange::new(head, body, tx));
+    handle(Exchange::new(head, body, tx, Arc::clone(&permit)));
     let reply = rx
         .await
         .unwrap_or_else(|_| Reply::text(500, "internal error\n".to_owned()));
+    permit.begin_reply();
     let close = reply.close || rejected;
     Ok(Response::from(Reply { close, ..reply }))
 }
-
-/// Reads a request body. A body whose declared length is over the limit is rejected before it is
-/// read.
-async fn read_body(body: Incoming, limit: usize) -> Result<String, Reply> {
-    let too_large = || Reply::text(413, format!("at most {limit} bytes"));
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
-    let bytes = match read.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
-        Ok(Err(e)) => return Err(Reply::text(400, e.to_string())),
-        Err(e) => return Err(Reply::text(408, e.to_string())),
-    };
-    String::from_utf8(bytes.into()).map_err(|e| Reply::text(400, e.to_string()))
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 //! * Connections are not encrypted. The VMs' network is trusted; peers authenticate with a shared
 //!   secret.
 
+mod accept_failures;
 pub mod callers;
 pub mod config_wire;
 pub mod daemon;
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -1,6 +1,6 @@
 //! HTTP server: body limits, concurrent connections and shutdown.
 
-use cardamomslip::http::{Exchange, HttpConfig, HttpServer, Reply};
+use cardamomslip::http::{Exchange, HttpConfig, HttpServer, Ingress, Reply};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use tokio::runtime::Runtime;
@@ -18,7 +18,11 @@
         fn $name() {
             let runtime = Runtime::new().expect("a runtime");
             let listen = "127.0.0.1:0".parse().expect("an address");
-            let config = HttpConfig { listen, body_bytes: BODY_BYTES };
+            let config = HttpConfig {
+                listen,
+                body_bytes: BODY_BYTES,
+                ingress: Ingress::default(),
+            };
             let server = HttpServer::start(config, runtime.handle(), echo).expect("a server");
             let body: fn(SocketAddr) = $body;
             body(server.address());
@@ -131,6 +135,7 @@
     let config = HttpConfig {
         listen,
         body_bytes: BODY_BYTES,
+        ingress: Ingress::default(),
     };
     let server = HttpServer::start(config, runtime.handle(), echo).expect("a server");
     let closed = async {
--- a/tests/unread_backlog.rs
+++ b/tests/unread_backlog.rs
@@ -3,7 +3,7 @@
 use cardamomslip::guarded::{
     Adapter, DispatcherMetrics, Input, InputSender, JobResponder, Setup, WorkerClient, run,
 };
-use cardamomslip::http::{Exchange, HttpConfig, HttpServer, ReadHorizon};
+use cardamomslip::http::{Exchange, HttpConfig, HttpServer, Ingress, ReadHorizon};
 use cardamomslip::peers::{PeerConfig, PeerHub};
 use cardamomslip::settings::Secret;
 use cardamomslip_core::guarded::action::{Poll, Start};
@@ -230,6 +230,7 @@
     let config = HttpConfig {
         listen: "127.0.0.1:0".parse().expect("an address"),
         body_bytes: 1_000,
+        ingress: Ingress::default(),
     };
     let observed = Arc::clone(observed);
     let handle = move |exchange| observed.lock().expect("a lock").exchange = Some(exchange);
