Peers are accepted again after a shortage of descriptors

The listener for peers ended for good at the first error of accept, so a VM that had no free descriptor for a moment was never connected to again.

--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -5,6 +5,7 @@
 use super::link::{self, LinkConfig, LinkError};
 use super::peer_config::PeerConfig;
 use super::protocol::{PeerMessage, PeerSink};
+use crate::accept_failures::AcceptFailures;
 use crate::error::{Error, ErrorKind};
 use cardamomslip_core::model::ids::VmId;
 use cardamomslip_core::model::incarnation::Incarnation;
@@ -125,7 +126,15 @@
 }
 
 async fn listen<M: PeerMessage>(listener: TcpListener, config: LinkConfig, tx: HubSender<M>) {
-    while let Ok((stream, address)) = listener.accept().await {
+    let mut failures = AcceptFailures::default();
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                failures.wait(&e).await;
+                continue;
+            }
+        };
         let (config, tx) = (config.clone(), tx.clone());
         tokio::spawn(async move {
             match link::accept(config, stream, tx).await {
