--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -207,7 +207,7 @@
         let http = HttpConfig {
             listen: settings.listen.callers,
             body_bytes: settings.limits.body_bytes,
-            ingress: Ingress::default(),
+            ingress: Ingress::new(settings.limits.ingress()),
         };
         let serve = move |exchange| service.serve(exchange);
         let server = HttpServer::start(http, runtime.handle(), serve)?;
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -4,6 +4,8 @@
 use super::ingress::{NoRoom, Permit};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use std::error::Error;
+use std::io;
 use std::time::Duration;
 
 /// Time limit for receiving a request body.
@@ -51,7 +53,7 @@
 ) -> Result<Vec<u8>, Reply> {
     let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| Reply::text(400, e.to_string()))?;
+        let frame = frame.map_err(|e| unreadable(&e))?;
         // Trailers are ignored.
         let Ok(data) = frame.into_data() else {
             continue;
@@ -85,6 +87,16 @@
     Reply::text(413, format!("at most {limit} bytes"))
 }
 
+/// Returns the response to a body whose reading failed, perhaps for lack of room for its buffers.
+fn unreadable(e: &hyper::Error) -> Reply {
+    let io = e.source().and_then(|e| e.downcast_ref::<io::Error>());
+    let cause = io.and_then(io::Error::get_ref);
+    match cause.and_then(|e| e.downcast_ref::<NoRoom>()) {
+        Some(&e) => no_room(e),
+        None => Reply::text(400, e.to_string()),
+    }
+}
+
 fn no_room(e: NoRoom) -> Reply {
     let mut reply = Reply::text(503, e.to_string());
     reply.retry_after = Some(NO_ROOM_RETRY_AFTER);
--- a/src/http/ingress.rs
+++ b/src/http/ingress.rs
@@ -47,6 +47,7 @@
         }
     }
 
+    /// Closes a connection.
     fn close(&mut self, key: usize, reason: CloseReason) {
         if let Some(closer) = self.table.close(key, reason) {
             // Sending fails if the connection has just ended.
@@ -55,6 +56,15 @@
     }
 }
 
+/// Wakes the tasks that wait for something to be released.
+fn wake(mut state: MutexGuard<'_, State>) {
+    let waiting = std::mem::take(&mut state.waiting);
+    drop(state);
+    for waker in waiting {
+        waker.wake();
+    }
+}
+
 impl Default for Ingress {
     fn default() -> Self {
         Self::new(IngressLimits::default())
@@ -117,13 +127,6 @@
         }
     }
 
-    fn wake(&self) {
-        let waiting = std::mem::take(&mut self.lock().waiting);
-        for waker in waiting {
-            waker.wake();
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -135,13 +138,15 @@
 pub struct Permit {
     ingress: Ingress,
     key: usize,
+    /// Whether a response is being written and no later request has begun.
     is_replying: AtomicBool,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.ingress.lock().table.remove(self.key);
-        self.ingress.wake();
+        let mut state = self.ingress.lock();
+        state.table.remove(self.key);
+        wake(state);
     }
 }
 
@@ -199,6 +204,7 @@
 
     /// Records that a head was received, and how many bytes of the body are missing.
     pub fn begin_body(&self, missing: usize) {
+        self.is_replying.store(false, Ordering::Relaxed);
         let mut state = self.ingress.lock();
         state.table.begin_body(Instant::now(), self.key, missing);
     }
@@ -206,14 +212,16 @@
     /// Records that a request was received completely. Returns whether it may be served, which it
     /// may not if its connection is being closed.
     pub fn begin_service(&self) -> bool {
+        self.is_replying.store(false, Ordering::Relaxed);
         let mut state = self.ingress.lock();
         state.table.begin_service(Instant::now(), self.key)
     }
 
     /// Releases what the request holds.
     pub fn release_request(&self) {
-        self.ingress.lock().table.release_request(self.key);
-        self.ingress.wake();
+        let mut state = self.ingress.lock();
+        state.table.release_request(self.key);
+        wake(state);
     }
 
     /// Records that the response is about to be written.
@@ -228,8 +236,7 @@
         if self.is_replying.swap(false, Ordering::Relaxed) {
             let mut state = self.ingress.lock();
             state.table.end_request(Instant::now(), self.key);
-            drop(state);
-            self.ingress.wake();
+            wake(state);
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -186,6 +186,7 @@
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             tokio::select! {
+                biased;
                 result = connection => if let Err(e) = result {
                     tracing::debug!(error = %e, "connection of a client failed");
                 },
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! the file, and the line and the field where there are any.
 
 use crate::error::{Error, ErrorKind};
+use crate::http::IngressLimits;
 use cardamomslip_core::{Policy, PolicyBuilder};
 use serde::Deserialize;
 use std::collections::HashSet;
@@ -15,6 +16,8 @@
 const MIN_SECRET_LEN: usize = 16;
 /// Number of hexadecimal digits of a SHA-256 hash.
 const SHA256_DIGITS: usize = 64;
+/// Number of bodies of the largest size for which callers have room at the least.
+const BODIES_AT_ONCE: usize = 16;
 /// Valid values of [`Settings::weight`].
 const WEIGHT_RANGE: std::ops::RangeInclusive<u32> = 1..=1_000;
 
@@ -103,6 +106,11 @@
 pub struct Limits {
     /// Limit on the body of a request, in bytes; 4194304 by default.
     pub body_bytes: usize,
+    /// Limit on the bytes that the connections of all callers hold, at least 1048576; 536870912 by
+    /// default. Raised to 16 times `body_bytes` if that is more.
+    pub ingress_bytes: usize,
+    /// Limit on the open connections of callers, at least 16; 16384 by default.
+    pub connections: usize,
     /// Limit on the tasks of a job; 1500 by default.
     pub tasks_per_job: usize,
     /// Limit on the ids that one request may ask for; 1000 by default.
@@ -121,6 +129,8 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 * 1024 * 1024,
+            ingress_bytes: 512 * 1024 * 1024,
+            connections: 16 * 1024,
             tasks_per_job: 1_500,
             ids_per_batch: 1_000,
             waiting_callers: 10_000,
@@ -291,11 +301,31 @@
 }
 
 impl Limits {
+    /// Returns the limits on what callers may hold.
+    #[must_use]
+    pub fn ingress(&self) -> IngressLimits {
+        IngressLimits {
+            bytes: self
+                .ingress_bytes
+                .max(BODIES_AT_ONCE.saturating_mul(self.body_bytes)),
+            connections: self.connections,
+            ..IngressLimits::default()
+        }
+    }
+
     fn validate(&self) -> Result<(), Error> {
         require(
             self.body_bytes >= 1_024,
             "limits.body_bytes: must be at least 1024",
         )?;
+        require(
+            self.ingress_bytes >= 1024 * 1024,
+            "limits.ingress_bytes: must be at least 1048576",
+        )?;
+        require(
+            self.connections >= 16,
+            "limits.connections: must be at least 16",
+        )?;
         require(
             self.tasks_per_job >= 1,
             "limits.tasks_per_job: must be at least 1",
