Ingress budget: leave memory for connections not accepted yet

Full receive buffers of all connections and of the accept queue came to more than the memory of the smallest VMs, by reckoning.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -26,8 +26,9 @@
 /// Bytes that the kernel may receive for a connection before they are read; it keeps twice as many
 /// for its own needs.
 const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
-/// Maximum number of connections that have not been accepted.
-const BACKLOG: u32 = 1_024;
+/// Maximum number of connections that have not been accepted. On the smallest VMs, their full receive
+/// buffers take a quarter of the memory.
+const BACKLOG: u32 = 512;
 /// Time limit for requests in progress to finish when the server closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
