--- a/src/http/ingress_table.rs
+++ b/src/http/ingress_table.rs
@@ -50,7 +50,8 @@
 }
 
 impl IngressStats {
-    /// Returns the number of connections and requests that were closed or refused.
+    /// Returns the number of connections and requests that were closed or refused for lack of room or for
+    /// a head that was late.
     #[must_use]
     pub const fn refusals(&self) -> u64 {
         self.refused_connections
@@ -58,7 +59,6 @@
             + self.closed_for_connections
             + self.closed_for_bytes
             + self.closed_by_head_timeout
-            + self.closed_by_idle_timeout
     }
 }
 
@@ -264,7 +264,7 @@
         let decision = self.decide_bytes(now, key, bytes);
         match decision {
             Decision::Admit => self.charge_over(key, bytes),
-            Decision::Refuse => self.stats.refused_requests += 1,
+            Decision::Refuse => self.record_refusal(key),
             Decision::Wait | Decision::Close(_) => {}
         }
         decision
@@ -288,7 +288,7 @@
                 self.row_mut(key).is_large = true;
                 self.add_bytes(key, bytes);
             }
-            Decision::Refuse => self.stats.refused_requests += 1,
+            Decision::Refuse => self.record_refusal(key),
             Decision::Wait | Decision::Close(_) => {}
         }
         decision
@@ -356,6 +356,13 @@
         row.set_stage(stage, now);
     }
 
+    /// Counts a refused request, unless its connection is being closed anyway.
+    fn record_refusal(&mut self, key: usize) {
+        if self.row(key).closer.is_some() {
+            self.stats.refused_requests += 1;
+        }
+    }
+
     fn decide_bytes(&self, now: Instant, key: usize, bytes: usize) -> Decision {
         let row = self.row(key);
         if row.closer.is_none() {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -191,7 +191,7 @@
                 result = connection => if let Err(e) = result {
                     tracing::debug!(error = %e, "connection of a client failed");
                 },
-                _ = closed => tracing::debug!("connection of a client closed: no room for it"),
+                _ = closed => tracing::debug!("connection of a client closed in favour of others or in time"),
             }
         });
     }
--- a/tests/ingress_server.rs
+++ b/tests/ingress_server.rs
@@ -28,12 +28,12 @@
 }
 
 impl Case {
-    fn new() -> Self {
+    fn new(limits: IngressLimits) -> Self {
         let runtime = Runtime::new().expect("a runtime");
-        let ingress = Ingress::new(LIMITS);
+        let ingress = Ingress::new(limits);
         let config = HttpConfig {
             listen: "127.0.0.1:0".parse().expect("an address"),
-            body_bytes: LIMITS.bytes,
+            body_bytes: limits.bytes,
             ingress: ingress.clone(),
         };
         let pending = Arc::<Mutex<Vec<Exchange>>>::default();
@@ -96,7 +96,7 @@
         #[test]
         fn $name() {
             let body: fn(&Case) = $body;
-            body(&Case::new());
+            body(&Case::new(LIMITS));
         })*
     };
 }
@@ -169,3 +169,30 @@
         }
     };
 }
+
+/// A head that has begun is closed in time, also if bytes go on arriving, while a connection between two
+/// requests stays open.
+#[test]
+fn a_slow_head_is_closed() {
+    let case = Case::new(IngressLimits {
+        head_timeout: Duration::from_millis(100),
+        ..LIMITS
+    });
+    let mut idle = send(case.address(), "/", "", "");
+    let mut status = [0; 12];
+    idle.read_exact(&mut status).expect("a response");
+    let slow = TcpStream::connect(case.address()).expect("a connection");
+    case.wait_until("the head is closed", |case| {
+        // Writing fails once the connection is closed.
+        let _ = (&slow).write_all(b"\r\n");
+        case.ingress.stats().closed_by_head_timeout == 1
+    });
+    case.wait_until("one connection is left", |case| {
+        case.ingress.stats().connections == 1
+    });
+    idle.write_all(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        .expect("an open connection");
+    let mut rest = String::new();
+    idle.read_to_string(&mut rest).expect("a response");
+    assert!(rest.contains("HTTP/1.1 200"), "{rest}");
+}
