Share room among queues while it is short

While room was short, the job with the least slack went first whatever its queue used, and a job that was late went behind all that were not. A burst of one queue made the jobs of the others late or failed them, those with little slack first.

Holders now keep accounts of what each queue uses. While tasks find no room, urgent jobs of queues below their share go before jobs of the others; jobs that have begun keep their place. Without share settings the order is as before.

Heartbeats are boxed in messages, since they outgrew the other variants.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -9,7 +9,8 @@
 use super::model::vm::VmEntry;
 use super::model::worker::WorkerEntry;
 use super::policy::Policy;
-use super::stats::Stats;
+use super::shares::ShareSettings;
+use super::stats::{QueueShare, Stats};
 use super::systems;
 use super::tables::read_horizon::READ_DELAY;
 use super::tables::worker::Hold;
@@ -55,6 +56,13 @@
         Self { world }
     }
 
+    /// Shares room among the queues while it is short.
+    #[must_use]
+    pub fn with_shares(mut self, shares: ShareSettings) -> Self {
+        self.world.shares = Some(Arc::new(shares));
+        self
+    }
+
     /// Handles an event and appends the immediate actions to `actions`. `unix_ms` is the time of
     /// day, which may be wrong.
     pub fn handle(&mut self, now: Time, unix_ms: u64, event: Event, actions: &mut Vec<Action>) {
@@ -157,6 +165,14 @@
         self.world.queues.as_ref()
     }
 
+    /// Returns what each queue uses of the workers held here, and its share of them. Empty if room is not
+    /// shared out.
+    #[must_use]
+    pub fn queue_shares(&self) -> Vec<QueueShare> {
+        let now = self.world.last_active_at.unwrap_or_default();
+        systems::shares::queue_shares(&self.world, now)
+    }
+
     /// Returns the counters and current gauges.
     #[must_use]
     pub fn stats(&self) -> Stats {
@@ -258,7 +274,7 @@
     row.is_outdated = false;
     match message {
         Message::Heartbeat(heartbeat) => {
-            systems::peers::handle_heartbeat(world, cx, from, heartbeat);
+            systems::peers::handle_heartbeat(world, cx, from, *heartbeat);
         }
         Message::Place {
             job,
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -8,6 +8,7 @@
 use super::ids::{ClientJobId, FencingToken, TaskId, WorkerId};
 use super::job::Job;
 use super::queue::QueueTable;
+use super::queue_use::QueueUse;
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use std::sync::Arc;
@@ -17,7 +18,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message {
     /// Periodic state of the sender.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Asks the receiver to run a job.
     Place {
         /// Job to run.
@@ -173,6 +174,8 @@
     pub wants_link: bool,
     /// Holders in other data centres, for a receiver that has no connection to them.
     pub remote_holders: Vec<RemoteHolder>,
+    /// What the queues use of the workers that the sender holds; empty unless its room is short.
+    pub queue_uses: Vec<QueueUse>,
 }
 
 /// A holder in another data centre, as a relay knows it.
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -9,6 +9,7 @@
 pub mod job;
 pub mod message;
 pub mod queue;
+pub mod queue_use;
 pub mod reply;
 pub mod resources;
 pub mod vm;
--- a/crates/core/src/guarded/model/queue.rs
+++ b/crates/core/src/guarded/model/queue.rs
@@ -1,5 +1,6 @@
 //! Queues that clients submit jobs to.
 
+use super::ids::QueueId;
 use super::job::QueueSettings;
 use crate::collections::FastMap;
 use std::sync::Arc;
@@ -55,6 +56,14 @@
         queues.find_map(|queue| Some((queue, path.strip_prefix(&*queue.prefix)?)))
     }
 
+    /// Returns the name of a queue.
+    #[must_use]
+    pub fn name(&self, id: QueueId) -> Option<Arc<str>> {
+        let mut queues = self.iter();
+        let queue = queues.find(|queue| queue.settings.queue == id)?;
+        Some(Arc::clone(&queue.name))
+    }
+
     /// Iterates over all queues in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &Queue> {
         self.queues.values().flatten()
--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges of one dispatcher.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Counters since the start of the process, and gauges of the current state.
@@ -63,6 +64,10 @@
     pub containments: u64,
     /// Queues that are currently contained.
     pub contained_queues: u64,
+    /// Jobs that the shares put before jobs of other queues.
+    pub put_first_by_shares: u64,
+    /// Jobs that the shares held back behind jobs of other queues.
+    pub held_back_by_shares: u64,
     /// Changes of the evacuations that this VM learned of.
     pub evacuation_changes: u64,
     /// Data centres that are currently evacuated.
@@ -88,3 +93,14 @@
     /// Runs that are currently present or may be.
     pub running: u64,
 }
+
+/// What a queue uses of the workers held by this VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueShare {
+    /// Name of the queue; its id if the configuration does not list it.
+    pub name: Arc<str>,
+    /// CPU that its runs occupy, in thousandths of a core.
+    pub in_use_milli: u64,
+    /// Its share of these workers in thousandths of a core; 0 while there is room for all.
+    pub share_milli: u64,
+}
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -1,6 +1,6 @@
 //! Scheduling: chooses the next task to start and the worker to start it on.
 
-use super::{containment, evacuations, leases, quarantine, suspect_reports};
+use super::{containment, evacuations, leases, quarantine, shares, suspect_reports};
 use crate::guarded::action::{Action, Start};
 use crate::guarded::model::ids::{ClientJobId, RunId, TaskId, WorkerId};
 use crate::guarded::model::job::Step;
@@ -22,6 +22,10 @@
 /// the task would still be on time with this margin.
 const RUN_TIME_MARGIN: f64 = 1.25;
 
+/// Slack up to which a job counts as urgent. Jobs of a queue below its share wait for their turn by
+/// slack until then.
+const URGENT_SLACK: Duration = Duration::from_millis(200);
+
 /// Scheduling order of jobs; the lowest rank is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -33,15 +37,27 @@
     at: Time,
 }
 
+impl Rank {
+    /// Returns whether the job will be late unless it starts soon.
+    pub fn is_urgent(&self, now: Time) -> bool {
+        self.late || self.at.since(now) <= URGENT_SLACK
+    }
+}
+
 /// Starts waiting tasks while workers have free capacity.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     quarantine::run(world, cx);
+    shares::update(world, cx.now);
     if !has_free_worker(world, cx.now) {
+        shares::record_shortage_if_waiting(world, cx.now);
         return;
     }
-    for (_, id) in jobs_by_rank(world, cx.now) {
-        start_tasks(world, cx, id);
+    let jobs = shares::order_jobs(world, cx.now, ranked_jobs(world, cx.now));
+    shares::record_order(world, cx.now, &jobs);
+    for job in jobs {
+        start_tasks(world, cx, job.item.1);
         if !has_free_worker(world, cx.now) {
+            shares::record_shortage_if_waiting(world, cx.now);
             return;
         }
     }
@@ -49,6 +65,12 @@
 
 /// Returns the jobs with waiting tasks in scheduling order.
 pub fn jobs_by_rank(world: &World, now: Time) -> Vec<(Rank, ClientJobId)> {
+    let jobs = shares::order_jobs(world, now, ranked_jobs(world, now));
+    jobs.into_iter().map(|job| job.item).collect()
+}
+
+/// Returns the jobs with waiting tasks in the order of their ranks.
+fn ranked_jobs(world: &World, now: Time) -> Vec<(Rank, ClientJobId)> {
     let waiting = world.jobs.values();
     let waiting = waiting.filter(|job| job.due_tasks().next().is_some());
     let mut ranked: Vec<_> = waiting
@@ -119,6 +141,7 @@
             if world.suspects.get(task).is_some() {
                 continue;
             }
+            shares::record_shortage(world, cx.now);
             break;
         };
         if let Some(run) = start_run(world, cx, task, worker) {
@@ -288,6 +311,10 @@
     let (need, estimate): (Resources, Duration) = (step.need, step.estimate);
     let payload = Arc::clone(&job.job.payload);
     let queue = job.job.settings.queue;
+    if !job.started {
+        let job = Arc::clone(&job.job);
+        shares::record_outcome(world, cx.now, &job, true);
+    }
     let job = world.jobs.get_mut(&task.job)?;
     job.started = true;
     let row = job.task_mut(task)?;
--- a/crates/core/src/guarded/systems/heartbeats.rs
+++ b/crates/core/src/guarded/systems/heartbeats.rs
@@ -3,7 +3,7 @@
 //! The interval of the heartbeats to a peer follows what depends on it: it is shortest while a job
 //! connects the two VMs, and among the VMs that replace each other as holders.
 
-use super::cell_assignment;
+use super::{cell_assignment, shares};
 use crate::collections::FastSet;
 use crate::guarded::action::Action;
 use crate::guarded::model::message::{Heartbeat, Message, RemoteHolder};
@@ -99,7 +99,7 @@
         }
         cx.emit(Action::Send {
             to: peer,
-            message: Message::Heartbeat(heartbeat),
+            message: Message::Heartbeat(Box::new(heartbeat)),
         });
     }
 }
@@ -197,5 +197,6 @@
         is_relay: world.topology.is_relay,
         wants_link: true,
         remote_holders: Vec::new(),
+        queue_uses: shares::report(world, cx.now),
     }
 }
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod run_list;
 pub mod runner;
+pub mod shares;
 pub mod start_reports;
 pub mod starts;
 pub mod starts_in_flight;
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,7 +1,7 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
 use super::{
-    cell_assignment, containment, crashes, evacuations, quarantine, start_reports,
+    cell_assignment, containment, crashes, evacuations, quarantine, shares, start_reports,
     starts_in_flight, stops, suspect_reports,
 };
 use crate::guarded::action::Action;
@@ -62,7 +62,9 @@
         answer_origin(world, cx, origin, id, answer);
         return;
     }
+    shares::record_arrival(world, cx.now, &job);
     if let Some(answer) = check_admission(world, cx, &job, age) {
+        shares::record_outcome(world, cx.now, &job, false);
         tracing::info!(job = %id, ?answer, tasks = job.task_count(), "job refused");
         answer_origin(world, cx, origin, id, answer);
         return;
@@ -195,6 +197,9 @@
     let Some(row) = remove_job(world, cx, id) else {
         return;
     };
+    if !row.started && matches!(answer, Answer::Refused { .. }) {
+        shares::record_outcome(world, cx.now, &row.job, false);
+    }
     if matches!(
         answer,
         Answer::Completed | Answer::Failed | Answer::Cancelled
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -5,6 +5,7 @@
 pub mod estimator;
 pub mod evacuation;
 pub mod peer;
+pub mod queue_account;
 pub mod read_horizon;
 pub mod recent;
 pub mod remote_holder;
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -59,6 +59,10 @@
     pub unfinished: Vec<u32>,
     /// Whether any run was ever started.
     pub started: bool,
+    /// Whether shares ever put it before a job of another queue.
+    pub was_put_first: bool,
+    /// Whether shares ever held it back behind a job of another queue.
+    pub was_held_back: bool,
 }
 
 impl RunnerJob {
@@ -93,6 +97,8 @@
             deadline: submitted_at + job.client_timeout,
             overdue_at: submitted_at + job.client_timeout + CLIENT_TIMEOUT_SLACK,
             started: false,
+            was_put_first: false,
+            was_held_back: false,
             job,
         }
     }
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -8,6 +8,7 @@
 use super::model::queue::QueueTable;
 use super::model::reply::RunEnd;
 use super::policy::Policy;
+use super::shares::ShareSettings;
 use super::stats::Stats;
 use super::systems::crashes::WorkerLoss;
 use super::tables::bulkhead::Bulkhead;
@@ -15,6 +16,7 @@
 use super::tables::estimator::Estimator;
 use super::tables::evacuation::EvacuationTable;
 use super::tables::peer::Peer;
+use super::tables::queue_account::QueueAccounts;
 use super::tables::read_horizon::ReadHorizon;
 use super::tables::recent::RecentOutcomes;
 use super::tables::remote_holder::RemoteHolderRow;
@@ -80,6 +82,10 @@
     /// Size of this VM relative to the others.
     pub weight: u32,
     pub policy: Policy,
+    /// Shares of the queues; `None` if room is not shared out.
+    pub shares: Option<Arc<ShareSettings>>,
+    /// What the queues use of the workers held here.
+    pub accounts: QueueAccounts,
     pub phase: Phase,
     pub timers: TimerQueue<Timer>,
     pub stats: Stats,
@@ -178,6 +184,8 @@
             me,
             weight,
             policy,
+            shares: None,
+            accounts: QueueAccounts::default(),
             phase: Phase::Serving,
             timers: TimerQueue::default(),
             stats: Stats::default(),
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -22,6 +22,7 @@
 mod oracle;
 mod recovery;
 mod scale;
+mod share_decisions;
 mod silent_clients;
 mod sim;
 mod slow_vms;
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -28,6 +28,7 @@
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::guarded::model::vm::VmEntry;
 use cardamomslip_core::guarded::model::worker::WorkerEntry;
+use cardamomslip_core::guarded::shares::ShareSettings;
 use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy, Stats};
 use cardamomslip_core::model::ids::{CallId, DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
@@ -151,8 +152,8 @@
 }
 
 /// Upper bounds of the parts of an encoded heartbeat in bytes, which `tests/guarded_frames.rs` of
-/// the root crate checks: the fixed part, a cell, a holder elsewhere and a worker.
-const HEARTBEAT_PART_BYTES: [u64; 4] = [110, 16, 56, 9];
+/// the root crate checks: the fixed part, a cell, a holder elsewhere, a worker and the use of a queue.
+const HEARTBEAT_PART_BYTES: [u64; 5] = [110, 16, 56, 9, 31];
 
 /// A job to submit.
 #[derive(Clone, Copy, Debug)]
@@ -214,6 +215,8 @@
     pub read_lag: u64,
     /// VM to which clients submit their jobs again; drawn if `None`.
     pub resend_vm: Option<usize>,
+    /// Shares of the queues, for dispatchers that start.
+    pub shares: Option<ShareSettings>,
     shape: Shape,
     seq: u64,
     queue: BTreeMap<(u64, u64), SimEvent>,
@@ -261,6 +264,11 @@
 
 impl Sim {
     pub fn new(shape: Shape, seed: u64) -> Self {
+        Self::with_shares(shape, seed, None)
+    }
+
+    /// Creates a deployment that shares room among queues.
+    pub fn with_shares(shape: Shape, seed: u64, shares: Option<ShareSettings>) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let capacity = Resources {
             cpu_milli: WORKER_CPU_MILLI,
@@ -282,6 +290,7 @@
             clients_leave_silently: false,
             read_lag: 0,
             resend_vm: None,
+            shares,
             shape,
             seq: 0,
             queue: BTreeMap::new(),
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -17,7 +17,11 @@
         row.follows_workers = false;
         let weight = self.weight(vm);
         let row = &mut self.vms[vm];
-        row.dispatcher = Some(Dispatcher::new(Identity { me, weight }, Policy::default()));
+        let dispatcher = Dispatcher::new(Identity { me, weight }, Policy::default());
+        row.dispatcher = Some(match &self.shares {
+            Some(shares) => dispatcher.with_shares(shares.clone()),
+            None => dispatcher,
+        });
         row.next_tick_at = self.now;
         let boot = row.boot;
         self.push(self.now, SimEvent::Tick(vm, boot));
@@ -229,6 +233,7 @@
             heartbeat.cells.len(),
             heartbeat.remote_holders.len(),
             heartbeat.still_held.len(),
+            heartbeat.queue_uses.len(),
         ];
         let parts = counts.iter().zip(HEARTBEAT_PART_BYTES);
         let bytes: u64 = parts.map(|(&count, size)| count as u64 * size).sum();
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -137,6 +137,8 @@
         if now.duration_since(self.last_metrics_update) >= METRICS_INTERVAL {
             self.last_metrics_update = now;
             self.metrics.record_stats(&self.dispatcher.stats());
+            self.metrics
+                .record_queue_shares(&self.dispatcher.queue_shares());
         }
         self.schedule_tick(cx);
     }
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -1,21 +1,28 @@
 //! Prometheus metrics of the dispatcher.
 
 use crate::http::OpenedConnections;
-use cardamomslip_core::guarded::Stats;
 use cardamomslip_core::guarded::model::answer::Answer;
+use cardamomslip_core::guarded::{QueueShare, Stats};
 use metrics::{counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Upper bounds of the buckets of the latency histogram, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0];
 
+/// Maximum number of queues with metrics of their own in the life of a process. The names of queues may
+/// change daily.
+const MAX_QUEUE_LABELS: usize = 128;
+
 /// Metrics of one dispatcher. Clones share the recorder.
 #[derive(Clone)]
 pub struct DispatcherMetrics {
     recorder: Arc<PrometheusRecorder>,
     handle: PrometheusHandle,
+    /// Queues that have metrics of their own.
+    queues: Arc<Mutex<BTreeSet<Arc<str>>>>,
 }
 
 impl std::fmt::Debug for DispatcherMetrics {
@@ -34,6 +41,7 @@
         Self {
             recorder: Arc::new(recorder),
             handle,
+            queues: Arc::default(),
         }
     }
 }
@@ -86,6 +94,10 @@
             counter!("cardamomslip_jobs_set_aside_total").absolute(stats.set_aside);
             counter!("cardamomslip_containments_total").absolute(stats.containments);
             gauge!("cardamomslip_contained_queues").set(stats.contained_queues as f64);
+            counter!("cardamomslip_jobs_put_first_by_shares_total")
+                .absolute(stats.put_first_by_shares);
+            counter!("cardamomslip_jobs_held_back_by_shares_total")
+                .absolute(stats.held_back_by_shares);
             counter!("cardamomslip_evacuation_changes_total").absolute(stats.evacuation_changes);
             gauge!("cardamomslip_evacuated_data_centres").set(stats.evacuated_data_centres as f64);
             gauge!("cardamomslip_suspects").set(stats.suspects as f64);
@@ -102,6 +114,28 @@
         });
     }
 
+    /// Sets the gauges of what the queues use and of their shares. Queues that are no longer reported get
+    /// 0.
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "gauges are floating-point numbers"
+    )]
+    pub fn record_queue_shares(&self, rows: &[QueueShare]) {
+        let mut known = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let cores = |milli: u64| milli as f64 / 1e3;
+        with_local_recorder(&*self.recorder, || {
+            for name in known.iter() {
+                set_queue_share(name, 0.0, 0.0);
+            }
+            for row in rows {
+                if known.contains(&row.name) || known.len() < MAX_QUEUE_LABELS {
+                    known.insert(Arc::clone(&row.name));
+                    set_queue_share(&row.name, cores(row.in_use_milli), cores(row.share_milli));
+                }
+            }
+        });
+    }
+
     /// Sets the number of connections opened to servers of a kind.
     pub fn record_opened(&self, server: &'static str, opened: &OpenedConnections) {
         let reasons = [
@@ -138,3 +172,8 @@
         self.handle.render()
     }
 }
+
+fn set_queue_share(queue: &Arc<str>, in_use: f64, share: f64) {
+    gauge!("cardamomslip_queue_cores_in_use", "queue" => Arc::clone(queue)).set(in_use);
+    gauge!("cardamomslip_queue_share_cores", "queue" => Arc::clone(queue)).set(share);
+}
--- a/src/guarded/wire/heartbeat.rs
+++ b/src/guarded/wire/heartbeat.rs
@@ -5,8 +5,9 @@
 use super::micros;
 use crate::peers::{IncarnationWire, WireError};
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
-use cardamomslip_core::guarded::model::ids::WorkerId;
+use cardamomslip_core::guarded::model::ids::{QueueId, WorkerId};
 use cardamomslip_core::guarded::model::message::{Heartbeat, RemoteHolder};
+use cardamomslip_core::guarded::model::queue_use::{MAX_QUEUE_USES, QueueUse};
 use cardamomslip_core::model::ids::DataCentreId;
 use cardamomslip_core::model::time::Time;
 use serde::{Deserialize, Serialize};
@@ -14,7 +15,8 @@
 use std::time::Duration;
 
 /// `sent_at`, `echo`, `weight`, `leaving`, `queues_version`, `queues_age`, `evacuations`, `token`,
-/// `cells`, `load`, `still_held`, `next_within`, `is_relay`, `wants_link`, `remote_holders`.
+/// `cells`, `load`, `still_held`, `next_within`, `is_relay`, `wants_link`, `remote_holders`,
+/// `queue_uses`.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HeartbeatWire(
     u64,
@@ -32,12 +34,17 @@
     bool,
     bool,
     Vec<RemoteHolderWire>,
+    Vec<QueueUseWire>,
 );
 
 /// `holder`, `load`, `age`.
 #[derive(Debug, Serialize, Deserialize)]
 struct RemoteHolderWire(IncarnationWire, HolderLoadWire, u64);
 
+/// `queue`, `priority`, `held_milli`, `usual_milli`, `waiting_milli`.
+#[derive(Debug, Serialize, Deserialize)]
+struct QueueUseWire(u64, u32, u64, u64, u64);
+
 /// `data_centre`, `cell_count`, `index`.
 #[derive(Debug, Serialize, Deserialize)]
 struct CellWire(u64, u16, u16);
@@ -69,6 +76,7 @@
             heartbeat.is_relay,
             heartbeat.wants_link,
             heartbeat.remote_holders.iter().map(Into::into).collect(),
+            heartbeat.queue_uses.iter().map(Into::into).collect(),
         )
     }
 }
@@ -93,7 +101,9 @@
             is_relay,
             wants_link,
             remote_holders,
+            queue_uses,
         ) = wire;
+        let queue_uses = queue_uses.into_iter().take(MAX_QUEUE_USES);
         let cells = cells.into_iter().map(Cell::try_from);
         Ok(Self {
             sent_at: Time::from_micros(sent_at),
@@ -111,6 +121,7 @@
             is_relay,
             wants_link,
             remote_holders: remote_holders.into_iter().map(Into::into).collect(),
+            queue_uses: queue_uses.map(Into::into).collect(),
         })
     }
 }
@@ -132,6 +143,31 @@
     }
 }
 
+impl From<&QueueUse> for QueueUseWire {
+    fn from(row: &QueueUse) -> Self {
+        Self(
+            row.queue.0,
+            row.priority,
+            row.held_milli,
+            row.usual_milli,
+            row.waiting_milli,
+        )
+    }
+}
+
+impl From<QueueUseWire> for QueueUse {
+    fn from(QueueUseWire(queue, priority, held, usual, waiting): QueueUseWire) -> Self {
+        let row = Self {
+            queue: QueueId(queue),
+            priority,
+            held_milli: held,
+            usual_milli: usual,
+            waiting_milli: waiting,
+        };
+        row.bounded()
+    }
+}
+
 impl From<Cell> for CellWire {
     fn from(cell: Cell) -> Self {
         Self(cell.data_centre.0, cell.cell_count, cell.index)
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -140,7 +140,7 @@
 impl From<&Message> for MessageWire {
     fn from(message: &Message) -> Self {
         match message {
-            Message::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
+            Message::Heartbeat(heartbeat) => Self::Heartbeat((&**heartbeat).into()),
             Message::Place {
                 job,
                 age,
@@ -172,7 +172,7 @@
 
     fn try_from(wire: MessageWire) -> Result<Self, WireError> {
         Ok(match wire {
-            MessageWire::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.try_into()?),
+            MessageWire::Heartbeat(heartbeat) => Self::Heartbeat(Box::new(heartbeat.try_into()?)),
             MessageWire::Place(job, age, unread, echo) => Self::Place {
                 job: Arc::new(job.try_into()?),
                 age: Duration::from_micros(age),
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -14,6 +14,7 @@
     Heartbeat, Message, RemoteHolder, StartReport, SuspectReport,
 };
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
+use cardamomslip_core::guarded::model::queue_use::{MAX_QUEUE_USES, QueueUse};
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
@@ -45,7 +46,7 @@
 }
 
 fn heartbeat(cell_count: u16, index: u16) -> Message {
-    Message::Heartbeat(Heartbeat {
+    Message::Heartbeat(Box::new(Heartbeat {
         sent_at: Time::from_micros(u64::MAX),
         echo: Some(ECHO),
         weight: 25,
@@ -83,7 +84,14 @@
             },
             age: Duration::from_micros(7),
         }],
-    })
+        queue_uses: vec![QueueUse {
+            queue: QueueId(u64::MAX),
+            priority: 2,
+            held_milli: 64_000_000,
+            usual_milli: 64_000_001,
+            waiting_milli: 1 << 50,
+        }],
+    }))
 }
 
 fn place(after: Vec<u32>) -> Message {
@@ -230,7 +238,7 @@
 }
 
 /// The simulations of the core bound the bytes of heartbeats by these sizes: the fixed part, a cell,
-/// a holder elsewhere and a worker.
+/// a holder elsewhere, a worker and the use of a queue.
 #[test]
 fn heartbeats_are_within_the_assumed_sizes() {
     let Message::Heartbeat(one) = heartbeat(4, 3) else {
@@ -240,8 +248,24 @@
         cells: one.cells.repeat(9),
         still_held: one.still_held.repeat(9),
         remote_holders: one.remote_holders.repeat(9),
-        ..one
+        queue_uses: one.queue_uses.repeat(9),
+        ..*one
+    };
+    let len = Message::Heartbeat(Box::new(many)).encode().len();
+    assert!(len <= 110 + 9 * (16 + 56 + 9 + 31), "{len} bytes");
+}
+
+/// A heartbeat with more queues than a VM may report must not take up more memory than one with as many
+/// as it may.
+#[test]
+fn surplus_queue_uses_are_not_read() {
+    let Message::Heartbeat(mut heartbeat) = heartbeat(4, 3) else {
+        unreachable!("the message is a heartbeat");
+    };
+    heartbeat.queue_uses = heartbeat.queue_uses.repeat(MAX_QUEUE_USES + 1);
+    let frame = Message::Heartbeat(heartbeat).encode();
+    let Ok(Message::Heartbeat(read)) = Message::decode(&frame) else {
+        panic!("the message is a heartbeat");
     };
-    let len = Message::Heartbeat(many).encode().len();
-    assert!(len <= 110 + 9 * (16 + 56 + 9), "{len} bytes");
+    assert_eq!(read.queue_uses.len(), MAX_QUEUE_USES);
 }
