Use no entries of other writers over a live worker's

Cause: any entry that decoded replaced that of the worker under whose id it stood, with its address, and a 421 answer at that address counted as the end of the worker's runs. Most fields had defaults, so an entry that lacked them was taken for the present boot's.

Over a known worker's entry, one of a service that no queue names, one without the boot, and one that gives the known boot another address are set aside; the worker counts as missing meanwhile, and the entry is used if the worker is removed or a configuration names its service. Requests carry the address, and a worker's address does not change while it has runs: an entry of another boot waits until they have ended or their lease has expired. A 421 rules out only starts that were sent to the present address.

--- a/crates/core/src/guarded/action.rs
+++ b/crates/core/src/guarded/action.rs
@@ -7,6 +7,7 @@
 use super::model::queue::QueueTable;
 use crate::model::ids::{CallId, VmId};
 use crate::model::incarnation::Incarnation;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -45,14 +46,7 @@
     /// Start a run on a worker.
     Start(Start),
     /// Stop a run on a worker.
-    Stop {
-        /// Worker that the run is on.
-        worker: WorkerId,
-        /// Run to stop.
-        run: RunId,
-        /// Fencing token of the holder.
-        token: FencingToken,
-    },
+    Stop(Stop),
     /// Use this newer configuration in this process.
     AdoptQueues(Arc<QueueTable>),
     /// These evacuations are in force now.
@@ -66,6 +60,8 @@
 pub struct Poll {
     /// Worker to poll.
     pub worker: WorkerId,
+    /// Address of the worker.
+    pub address: SocketAddr,
     /// Number of the poll, to be passed back with the reply.
     pub id: u64,
     /// Fencing token of the holder, or 0 for a probe.
@@ -83,6 +79,8 @@
 pub struct Start {
     /// Worker to start the run on.
     pub worker: WorkerId,
+    /// Address of the worker, which stays the same while it has the run.
+    pub address: SocketAddr,
     /// Run to start.
     pub run: RunId,
     /// Payload of the job, passed on unchanged.
@@ -92,3 +90,16 @@
     /// End of the lease on the worker's clock, in milliseconds.
     pub lease_end_ms: u64,
 }
+
+/// A request to stop a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// Worker that the run is on.
+    pub worker: WorkerId,
+    /// Address at which the run was started.
+    pub address: SocketAddr,
+    /// Run to stop.
+    pub run: RunId,
+    /// Fencing token of the holder.
+    pub token: FencingToken,
+}
--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -3,18 +3,15 @@
 use super::action::Action;
 use super::event::Event;
 use super::model::answer::LossCause;
-use super::model::ids::WorkerId;
 use super::model::message::Message;
 use super::model::queue::QueueTable;
 use super::model::vm::VmEntry;
-use super::model::worker::WorkerEntry;
 use super::policy::Policy;
 use super::stats::Stats;
 use super::systems;
 use super::tables::read_horizon::READ_DELAY;
 use super::tables::worker::Hold;
 use super::world::{Cx, Phase, Timer, World};
-use crate::collections::FastSet;
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use std::sync::Arc;
@@ -70,9 +67,11 @@
             Event::Evacuations { state, is_change } => {
                 systems::evacuations::adopt(world, cx, &state, is_change);
             }
-            Event::Worker(entry) => add_or_update_worker(world, now, entry),
-            Event::WorkerGone(id) => mark_worker_missing(world, now, id),
-            Event::WorkersListed(entries) => handle_worker_list(world, now, entries),
+            Event::Worker(entry) => systems::registrations::handle_entry(world, now, entry),
+            Event::WorkerGone(id) => systems::registrations::handle_removal(world, now, id),
+            Event::WorkersListed(entries) => {
+                systems::registrations::handle_list(world, now, entries);
+            }
             Event::VmsListed(entries) => handle_vm_list(world, &entries),
             Event::VmRefused(vm) => systems::peers::handle_refusal(world, vm),
             Event::PeerUp(peer) => systems::peers::add_peer(world, cx, peer),
@@ -116,6 +115,7 @@
         if world.topology.is_outdated {
             systems::topology::run(world, cx);
         }
+        systems::registrations::move_idle_workers(world, cx);
         systems::leases::run(world, now);
         systems::progress::run(world, cx);
         systems::crashes::run(world, cx);
@@ -205,42 +205,6 @@
     systems::placement::retry_unplaced(world, cx);
 }
 
-fn add_or_update_worker(world: &mut World, now: Time, entry: WorkerEntry) {
-    // An entry that arrives after this VM has stopped following the registry is out of date.
-    if !world.topology.follows_workers {
-        return;
-    }
-    let id = entry.id;
-    world.registry.insert(now, entry.clone());
-    if let Some(row) = world.workers.get_mut(&id) {
-        if row.entry.draining != entry.draining {
-            tracing::info!(worker = %id, draining = entry.draining, "worker changed");
-        }
-        row.cold_until = now + entry.cold_left;
-        row.entry = entry;
-        row.missing_since = None;
-    } else if systems::cell_assignment::is_claimed(world, &entry) {
-        systems::holds::add_row(world, id);
-    }
-}
-
-fn mark_worker_missing(world: &mut World, now: Time, id: WorkerId) {
-    world.registry.mark_missing(id, now);
-    if let Some(row) = world.workers.get_mut(&id) {
-        row.missing_since.get_or_insert(now);
-    }
-}
-
-fn handle_worker_list(world: &mut World, now: Time, entries: Vec<WorkerEntry>) {
-    let listed: FastSet<WorkerId> = entries.iter().map(|entry| entry.id).collect();
-    for id in world.registry.absent_from(&listed) {
-        mark_worker_missing(world, now, id);
-    }
-    for entry in entries {
-        add_or_update_worker(world, now, entry);
-    }
-}
-
 fn handle_vm_list(world: &mut World, entries: &[VmEntry]) {
     let me = world.me.vm;
     let others = entries.iter().filter(|entry| entry.vm != me);
--- a/crates/core/src/guarded/model/worker.rs
+++ b/crates/core/src/guarded/model/worker.rs
@@ -3,6 +3,7 @@
 use super::ids::{UpstreamId, WorkerId};
 use super::resources::Resources;
 use crate::model::ids::DataCentreId;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 pub struct WorkerEntry {
     /// Id of the worker.
     pub id: WorkerId,
+    /// Address of its server.
+    pub address: SocketAddr,
     /// Upstream that it belongs to.
     pub upstream: UpstreamId,
     /// Data centre that it is in.
--- a/crates/core/src/guarded/systems/configuration.rs
+++ b/crates/core/src/guarded/systems/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration: adoption, and requests for it among peers.
 
+use super::registrations;
 use crate::guarded::action::Action;
 use crate::guarded::model::message::Message;
 use crate::guarded::model::queue::QueueTable;
@@ -28,6 +29,7 @@
     // Peers that can't reach the store learn of the version by the next heartbeat.
     world.heartbeat_due = true;
     cx.emit(Action::AdoptQueues(table));
+    registrations::handle_new_queues(world, cx.now);
 }
 
 /// Asks one peer for its configuration if this VM's own has been outdated for a while. Most VMs get
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -279,7 +279,8 @@
 /// Starts a task on a worker. Returns `None` if the worker or the job is gone, if the worker's
 /// clock is not known, or if its lease must not be extended.
 fn start_run(world: &mut World, cx: &mut Cx<'_>, task: TaskId, worker: WorkerId) -> Option<RunId> {
-    let token = world.workers.get(&worker)?.token;
+    let row = world.workers.get(&worker)?;
+    let (token, address) = (row.token, row.entry.address);
     let lease_end_ms = leases::renew(world, cx.now, worker)?;
     let row = world.workers.get(&worker)?;
     let job = world.jobs.get(&task.job)?;
@@ -329,6 +330,7 @@
     );
     cx.emit(Action::Start(Start {
         worker,
+        address,
         run,
         payload,
         token,
--- a/crates/core/src/guarded/systems/polls.rs
+++ b/crates/core/src/guarded/systems/polls.rs
@@ -117,6 +117,7 @@
     // A worker refuses token 0 once it has seen any token, so a probe has no effect on it.
     // A worker that may carry out a start of this VM is fenced by the token chosen at its loss: a VM that
     // has acquired it since has a higher one.
+    let address = row.entry.address;
     let (token, last_seen) = if row.hold == Hold::Unreachable && !fences {
         (FencingToken(0), 0)
     } else {
@@ -125,6 +126,7 @@
     world.stats.polls += 1;
     cx.emit(Action::Poll(Poll {
         worker: id,
+        address,
         id: number,
         token,
         lease_end_ms,
@@ -273,7 +275,7 @@
 pub fn handle_replaced(world: &mut World, cx: &Cx<'_>, id: WorkerId) {
     let now = cx.now;
     if is_fenced_on_return(world, id) {
-        starts_in_flight::rule_out_all(world, now, id);
+        starts_in_flight::rule_out_replaced(world, now, id);
         if let Some(row) = world.workers.get_mut(&id) {
             row.next_probe_at = now + FENCING_PROBE_INTERVAL;
         }
@@ -284,7 +286,7 @@
         "another worker answers at the address of this one; its runs have ended"
     );
     crashes::record_loss(world, cx, id, WorkerEnd::Replaced, |_| false);
-    starts_in_flight::rule_out_all(world, now, id);
+    starts_in_flight::rule_out_replaced(world, now, id);
     world.end_all_runs(id, RunEnd::Broken);
     let Some(row) = world.workers.get_mut(&id) else {
         return;
--- a/crates/core/src/guarded/systems/starts.rs
+++ b/crates/core/src/guarded/systems/starts.rs
@@ -122,7 +122,7 @@
     let Some(row) = world.workers.get_mut(&worker) else {
         return;
     };
-    let token = row.token;
+    let (token, address) = (row.token, row.entry.address);
     let Some(run) = row.runs.get_mut(&id.task) else {
         return;
     };
@@ -142,6 +142,7 @@
             run.start_requests += 1;
             cx.emit(Action::Start(Start {
                 worker,
+                address,
                 run: id,
                 payload,
                 token,
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -191,9 +191,13 @@
     }
 }
 
-/// Rules out the starts on a worker at whose address another one answers.
-pub fn rule_out_all(world: &mut World, now: Time, worker: WorkerId) {
-    rule_out_where(world, now, worker, "replaced", |_, _| true);
+/// Rules out the starts that were sent to the present address of a worker, where another one answers.
+pub fn rule_out_replaced(world: &mut World, now: Time, worker: WorkerId) {
+    let since = world.workers.get(&worker).map(|row| row.address_since);
+    let since = since.unwrap_or(now);
+    rule_out_where(world, now, worker, "replaced", |_, row| {
+        row.sent_at >= since
+    });
 }
 
 fn rule_out_where(
--- a/crates/core/src/guarded/systems/stops.rs
+++ b/crates/core/src/guarded/systems/stops.rs
@@ -4,7 +4,7 @@
 use super::polls;
 use super::run_list::RunList;
 use super::starts_in_flight;
-use crate::guarded::action::Action;
+use crate::guarded::action::{Action, Stop as StopRequest};
 use crate::guarded::model::ids::{RunId, WorkerId};
 use crate::guarded::model::reply::{RunEnd, StopReply};
 use crate::guarded::tables::stop::Stop;
@@ -49,11 +49,12 @@
             stop.record_try(cx.now);
         }
         world.stats.stops += 1;
-        cx.emit(Action::Stop {
+        cx.emit(Action::Stop(StopRequest {
             worker,
+            address: row.entry.address,
             run,
             token: row.token,
-        });
+        }));
     }
 }
 
@@ -66,12 +67,16 @@
     reply: StopReply,
 ) {
     let row = world.workers.get_mut(&worker);
-    if let Some(stop) = row.and_then(|row| row.stop_mut(id)) {
+    let stop = row.and_then(|row| row.stop_mut(id));
+    let is_tracked = stop.is_some();
+    if let Some(stop) = stop {
         stop.record_reply(cx.now, reply);
     }
     match reply {
         StopReply::Stopped => {}
         StopReply::Fenced => polls::handle_fenced(world, cx.now, worker),
+        // The address may have changed since the run ended.
+        StopReply::OtherBoot if !is_tracked => {}
         StopReply::OtherBoot => polls::handle_replaced(world, cx, worker),
         StopReply::Refused => handle_refusal(world, cx.now, worker),
         StopReply::Unanswered => world.stats.unanswered_requests += 1,
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -1,7 +1,10 @@
 //! Periodic checks: jobs that can't end in time, runs that hang, and workers that left the
 //! registry.
 
-use super::{cell_assignment, containment, dispatch, evacuations, runner, starts_in_flight, stops};
+use super::{
+    cell_assignment, containment, dispatch, evacuations, registrations, runner, starts_in_flight,
+    stops,
+};
 use crate::collections::FastMap;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
@@ -48,7 +51,7 @@
     starts_in_flight::run(world, cx);
     refuse_late_jobs(world, cx);
     stop_hanging_runs(world, cx);
-    remove_missing_workers(world, cx);
+    registrations::remove_missing(world, cx.now);
     stops::resend_unacked(world, cx.now);
     stops::report_overdue(world, cx.now);
     stops::end_expired_leases(world, cx);
@@ -173,22 +176,3 @@
         task.avoid = Some(worker);
     }
 }
-
-/// Removes workers that have been missing from the registry for a while. One that still has runs
-/// gets no new ones and stays until they have ended.
-fn remove_missing_workers(world: &mut World, cx: &Cx<'_>) {
-    let gone = world
-        .registry
-        .missing_for(cx.now, world.policy.missing_grace);
-    for id in gone {
-        if let Some(row) = world.workers.get_mut(&id)
-            && !row.runs.is_empty()
-        {
-            row.entry.draining = true;
-            continue;
-        }
-        tracing::info!(worker = %id, "removing worker that is no longer in the registry");
-        world.workers.remove(&id);
-        world.registry.remove(id);
-    }
-}
--- a/crates/core/src/guarded/tables/worker.rs
+++ b/crates/core/src/guarded/tables/worker.rs
@@ -141,6 +141,10 @@
 pub struct Worker {
     /// Entry of the worker in the registry.
     pub entry: WorkerEntry,
+    /// Later entry with another address, until no run is left at the present one.
+    pub moving_to: Option<WorkerEntry>,
+    /// Time since which it has its present address.
+    pub address_since: Time,
     /// Time since which the registry does not list it; `None` while it does.
     pub missing_since: Option<Time>,
     /// State of this VM's hold.
@@ -199,6 +203,8 @@
     pub fn new(entry: WorkerEntry) -> Self {
         Self {
             entry,
+            moving_to: None,
+            address_since: Time::ZERO,
             missing_since: None,
             hold: Hold::None,
             token: FencingToken(0),
@@ -357,6 +363,7 @@
     pub fn is_usable(&self, now: Time, stale_after: Duration) -> bool {
         self.hold == Hold::Held
             && !self.entry.draining
+            && self.moving_to.is_none()
             && self.health.ejected_until <= now
             && self.full_until <= now
             && self.clock.is_some()
--- a/crates/core/src/guarded/tables/worker_registry.rs
+++ b/crates/core/src/guarded/tables/worker_registry.rs
@@ -26,6 +26,8 @@
     rows: FastMap<WorkerId, RegisteredWorker>,
     counts: FastMap<DataCentreId, usize>,
     missing: FastSet<WorkerId>,
+    /// Entries that are not used, by the ids of known workers.
+    aside: FastMap<WorkerId, WorkerEntry>,
 }
 
 impl WorkerRegistry {
@@ -69,6 +71,7 @@
     /// Adds a worker or updates its entry.
     pub fn insert(&mut self, now: Time, entry: WorkerEntry) {
         self.missing.remove(&entry.id);
+        self.aside.remove(&entry.id);
         let (id, data_centre) = (entry.id, entry.data_centre);
         let row = RegisteredWorker {
             cold_until: now + entry.cold_left,
@@ -90,6 +93,21 @@
         }
     }
 
+    /// Sets an entry under the id of a known worker aside, until the worker is removed.
+    pub fn set_aside(&mut self, entry: WorkerEntry) {
+        self.aside.insert(entry.id, entry);
+    }
+
+    /// Removes and returns the entry that was set aside under an id.
+    pub fn take_aside(&mut self, id: WorkerId) -> Option<WorkerEntry> {
+        self.aside.remove(&id)
+    }
+
+    /// Removes and returns all entries that were set aside.
+    pub fn take_all_aside(&mut self) -> Vec<WorkerEntry> {
+        self.aside.drain().map(|(_, entry)| entry).collect()
+    }
+
     /// Returns the workers that are not in a new full list of the store.
     pub fn absent_from(&self, listed: &FastSet<WorkerId>) -> Vec<WorkerId> {
         let ids = self.rows.keys().copied();
@@ -108,6 +126,7 @@
     /// Removes a worker.
     pub fn remove(&mut self, id: WorkerId) {
         self.missing.remove(&id);
+        self.aside.remove(&id);
         if let Some(row) = self.rows.remove(&id) {
             self.uncount(row.entry.data_centre);
         }
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -21,6 +21,7 @@
 mod loads;
 mod oracle;
 mod recovery;
+mod registrations;
 mod scale;
 mod silent_clients;
 mod sim;
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -177,11 +177,29 @@
         }
     }
 
+    /// Returns the configuration, with a queue that names the upstream of the workers.
+    pub(super) fn queue_table(&self) -> Arc<QueueTable> {
+        let queue = Queue {
+            name: "queue".into(),
+            host: "queue.example".into(),
+            prefix: "/".into(),
+            settings: QueueSettings {
+                queue: QueueId(1),
+                upstream: UpstreamId(1),
+                priority: 0,
+                max_attempts: 3,
+                stretch: 1.6,
+                target: Duration::from_millis(60),
+            },
+        };
+        Arc::new(QueueTable::new(self.version, vec![queue], 0))
+    }
+
     /// Activates a new configuration. The store delivers it to each VM after a random delay.
     pub fn change_queues(&mut self) {
         self.version += 1;
         for vm in 0..self.vms.len() {
-            let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
+            let table = self.queue_table();
             let wait = self.rng.random_range(1..200) * MS;
             self.push_event(self.now + wait, vm, Event::Queues(table));
         }
@@ -191,7 +209,7 @@
     pub fn change_queues_at(&mut self, vms: &[usize]) {
         self.version += 1;
         for &vm in vms {
-            let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
+            let table = self.queue_table();
             self.push_event(self.now + MS, vm, Event::Queues(table));
         }
     }
--- a/crates/core/tests/guarded/sim/faults.rs
+++ b/crates/core/tests/guarded/sim/faults.rs
@@ -15,7 +15,7 @@
         match action {
             Action::Poll(_) => Some(Self::Poll),
             Action::Start(_) => Some(Self::Start),
-            Action::Stop { .. } => Some(Self::Stop),
+            Action::Stop(_) => Some(Self::Stop),
             _ => None,
         }
     }
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -23,7 +23,7 @@
 };
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
 use cardamomslip_core::guarded::model::message::Message;
-use cardamomslip_core::guarded::model::queue::QueueTable;
+use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::reply::{PollReply, StartReply, StopReply};
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::guarded::model::vm::VmEntry;
@@ -35,6 +35,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -22,7 +22,7 @@
         let boot = row.boot;
         self.push(self.now, SimEvent::Tick(vm, boot));
         if !self.configuration_unavailable {
-            let table = Arc::new(QueueTable::new(self.version, Vec::new(), 0));
+            let table = self.queue_table();
             self.push_event(self.now + MS, vm, Event::Queues(table));
             self.list_evacuations(vm);
         }
@@ -196,9 +196,9 @@
                 self.orders[vm] += 1;
                 self.send_request(vm, start.worker, Action::Start(start));
             }
-            Action::Stop { worker, run, token } => {
+            Action::Stop(stop) => {
                 self.orders[vm] += 1;
-                self.send_request(vm, worker, Action::Stop { worker, run, token });
+                self.send_request(vm, stop.worker, Action::Stop(stop));
             }
             Action::AdoptQueues(table) => {
                 let boot = self.vms[vm].boot;
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -10,10 +10,17 @@
         WorkerId((worker as u64) << 32)
     }
 
-    pub(super) fn registry_entry(&self, worker: usize) -> WorkerEntry {
+    /// Returns the address of a worker.
+    fn address(worker: usize) -> SocketAddr {
+        let port = u16::try_from(worker + 1).expect("few workers");
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+    }
+
+    pub fn registry_entry(&self, worker: usize) -> WorkerEntry {
         let row = &self.workers[worker];
         WorkerEntry {
             id: Self::worker_id(worker),
+            address: Self::address(worker),
             upstream: UpstreamId(1),
             data_centre: DataCentreId((worker % self.shape.data_centres) as u64),
             capacity: row.capacity,
@@ -39,6 +46,15 @@
         }
     }
 
+    /// Delivers an entry that another writer left in the store to all VMs that follow the registry.
+    pub fn publish_entry(&mut self, entry: &WorkerEntry) {
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].follows_workers {
+                self.push_event(self.now + 5 * MS, vm, Event::Worker(entry.clone()));
+            }
+        }
+    }
+
     /// Restarts a worker immediately, under the same id.
     pub fn reboot_worker(&mut self, worker: usize) {
         self.reboot_unlisted(worker);
@@ -159,6 +175,14 @@
     pub(super) fn send_request(&mut self, vm: usize, id: WorkerId, action: Action) {
         let worker = (id.0 >> 32) as usize;
         let boot = self.vms[vm].boot;
+        if address_of(&action) != Some(Self::address(worker)) {
+            // Another worker answers there.
+            self.misdirected_requests += 1;
+            if let Some(event) = other_boot_reply(&action) {
+                self.reply(vm, boot, event);
+            }
+            return;
+        }
         let wait = match &action {
             Action::Poll(poll) => {
                 u64::try_from(poll.wait.as_micros()).expect("the wait fits in 64 bits")
@@ -196,7 +220,7 @@
             return;
         }
         // Drawn only while stops are lost, so that seeds without it give the same course.
-        if matches!(action, Action::Stop { .. })
+        if matches!(action, Action::Stop(_))
             && self.lost_stop_ratio > 0.0
             && self.rng.random_bool(self.lost_stop_ratio)
         {
@@ -239,9 +263,9 @@
                 run: start.run,
                 reply: StartReply::Silent,
             },
-            Action::Stop { worker, run, .. } => Event::Stopped {
-                worker: *worker,
-                run: *run,
+            Action::Stop(stop) => Event::Stopped {
+                worker: stop.worker,
+                run: stop.run,
                 reply: StopReply::Unanswered,
             },
             _ => return,
@@ -315,16 +339,12 @@
                     self.reply(vm, boot, event);
                 }
             }
-            Action::Stop {
-                worker: id,
-                run,
-                token,
-            } => {
-                let reply = self.workers[worker].stop(self.now, run, token);
+            Action::Stop(stop) => {
+                let reply = self.workers[worker].stop(self.now, stop.run, stop.token);
                 if answered {
                     let event = Event::Stopped {
-                        worker: id,
-                        run,
+                        worker: stop.worker,
+                        run: stop.run,
                         reply,
                     };
                     self.reply(vm, boot, event);
@@ -434,6 +454,16 @@
     }
 }
 
+/// Returns the address that a request to a worker is sent to.
+const fn address_of(action: &Action) -> Option<SocketAddr> {
+    match action {
+        Action::Poll(poll) => Some(poll.address),
+        Action::Start(start) => Some(start.address),
+        Action::Stop(stop) => Some(stop.address),
+        _ => None,
+    }
+}
+
 /// Returns the reply of a worker that replaced the one the request is meant for.
 fn other_boot_reply(action: &Action) -> Option<Event> {
     Some(match action {
@@ -447,9 +477,9 @@
             run: start.run,
             reply: StartReply::OtherBoot,
         },
-        Action::Stop { worker, run, .. } => Event::Stopped {
-            worker: *worker,
-            run: *run,
+        Action::Stop(stop) => Event::Stopped {
+            worker: stop.worker,
+            run: stop.run,
             reply: StopReply::OtherBoot,
         },
         _ => return None,
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -198,7 +198,7 @@
             Action::FollowWorkers(follow) => self.adapter.follow_workers(follow),
             Action::Poll(poll) => self.adapter.workers().poll(poll),
             Action::Start(start) => self.adapter.workers().start(start),
-            Action::Stop { worker, run, token } => self.adapter.workers().stop(worker, run, token),
+            Action::Stop(stop) => self.adapter.workers().stop(stop),
             Action::AdoptQueues(queues) => self.adapter.set_queues(&queues),
             Action::Evacuations(state) => self.adapter.set_evacuations(&state),
             Action::Closed => {
--- a/src/guarded/adapter.rs
+++ b/src/guarded/adapter.rs
@@ -1,9 +1,8 @@
 //! Traits that an adapter implements.
 
-use cardamomslip_core::guarded::action::{Poll, Start};
+use cardamomslip_core::guarded::action::{Poll, Start, Stop};
 use cardamomslip_core::guarded::model::answer::Answer;
 use cardamomslip_core::guarded::model::evacuations::Evacuations;
-use cardamomslip_core::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use std::sync::Arc;
 
@@ -29,7 +28,7 @@
     fn start(&mut self, start: Start);
 
     /// Stops a run on a worker.
-    fn stop(&mut self, worker: WorkerId, run: RunId, token: FencingToken);
+    fn stop(&mut self, stop: Stop);
 }
 
 /// Connects the actor to clients and workers.
--- a/tests/unread_backlog.rs
+++ b/tests/unread_backlog.rs
@@ -6,10 +6,9 @@
 use cardamomslip::http::{Exchange, HttpConfig, HttpServer, ReadHorizon};
 use cardamomslip::peers::{PeerConfig, PeerHub};
 use cardamomslip::settings::Secret;
-use cardamomslip_core::guarded::action::{Poll, Start};
+use cardamomslip_core::guarded::action::{Poll, Start, Stop};
 use cardamomslip_core::guarded::model::answer::Answer;
 use cardamomslip_core::guarded::model::evacuations::Evacuations;
-use cardamomslip_core::guarded::model::ids::{FencingToken, RunId, WorkerId};
 use cardamomslip_core::guarded::model::queue::QueueTable;
 use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy};
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
@@ -152,7 +151,7 @@
 
     fn start(&mut self, _: Start) {}
 
-    fn stop(&mut self, _: WorkerId, _: RunId, _: FencingToken) {}
+    fn stop(&mut self, _: Stop) {}
 }
 
 /// Reads a byte and reports it as an event that the adapter learns of when it is handled.
