Take no close of an idle connection for the end of a process

Cause: the close of any connection of a worker, followed by a refused one within 300 ms, counted as the end of its process. A live worker may close an idle connection just before a cut in which new connections are refused.

Change: only the close in order of a connection with a request of at least 5 ms in progress counts. A close that crosses a request on its way is answered by a reset within that time, and then doesn't count. Without such a close the lease decides, 0.8 s later. As each held worker has a long poll in progress, the end of a process is still noticed at once unless it comes within the first 5 ms of a poll.

That the reset alone is enough to tell a crossing close is not shown by a test.

--- a/src/http/observed.rs
+++ b/src/http/observed.rs
@@ -1,4 +1,8 @@
 //! A connection that notes how the server closed it.
+//!
+//! Only the close of a connection with a request in progress says something of the server's process: a live
+//! server may close an idle one at any time. If that close crosses a request on its way, the request is
+//! answered by a reset.
 
 use super::read_horizon::{BootTime, ReadHorizon};
 use std::io;
@@ -6,14 +10,18 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Minimum time that a request is in progress for the close of its connection to count. A reset by which
+/// the server answers a request that came after its close has arrived by then.
+const MIN_REQUEST_AGE: Duration = Duration::from_millis(5);
+
 /// How a server last closed its connections. Clones share the state.
 #[derive(Clone, Debug, Default)]
 pub struct ServerCloses {
-    /// Earliest time of the last close in order; `None` if a connection was reset since.
+    /// Earliest time of the last close in order during a request; `None` if a connection was reset since.
     closed_at: Arc<Mutex<Option<BootTime>>>,
     horizon: ReadHorizon,
 }
@@ -24,8 +32,8 @@
         Self { horizon, ..self }
     }
 
-    /// Returns whether the server certainly closed a connection in order within this time, and none was
-    /// reset since. A close that may have lain unread for longer does not count.
+    /// Returns whether the server certainly closed a connection with a request in progress in order within
+    /// this time, and none was reset since. A close that may have lain unread for longer does not count.
     pub fn closed_within(&self, time: Duration) -> bool {
         let at = *self
             .closed_at
@@ -56,6 +64,8 @@
 pub struct ObservedStream {
     stream: TcpStream,
     closes: ServerCloses,
+    /// Time of the last write to which no response has begun.
+    requested_at: Option<Instant>,
 }
 
 impl ObservedStream {
@@ -68,7 +78,28 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         closes.forget();
-        Ok(Self { stream, closes })
+        Ok(Self {
+            stream,
+            closes,
+            requested_at: None,
+        })
+    }
+
+    /// Records the close of the connection in order, if the server had received a request on it. A reset
+    /// that follows the close shows that it had not.
+    fn record_close(&self) {
+        let age = self.requested_at.map(|at| at.elapsed());
+        let was_reset = !matches!(self.stream.take_error(), Ok(None));
+        if age.is_some_and(|age| age >= MIN_REQUEST_AGE) && !was_reset {
+            self.closes.record_close();
+        }
+    }
+
+    /// Notes the time of a write.
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
+        if matches!(result, Poll::Ready(Ok(1..))) {
+            self.requested_at = Some(Instant::now());
+        }
     }
 }
 
@@ -82,10 +113,11 @@
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         match &result {
             Poll::Ready(Ok(())) if buf.filled().len() == before && !is_full => {
-                self.closes.record_close();
+                self.record_close();
             }
             Poll::Ready(Err(_)) => self.closes.forget(),
-            Poll::Ready(Ok(())) | Poll::Pending => {}
+            Poll::Ready(Ok(())) => self.requested_at = None,
+            Poll::Pending => {}
         }
         result
     }
@@ -97,7 +129,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -113,7 +147,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Maximum time between the close of a connection and the refusal of the next one that counts as the
+/// Maximum time between the close of a connection with a request in progress and the refusal of the next one that counts as the
 /// end of the server's process.
 const PROCESS_END_WINDOW: Duration = Duration::from_millis(300);
 
@@ -28,9 +28,9 @@
     /// No part of the request was sent.
     #[error("not connected: {0}")]
     Unsent(String),
-    /// No part of the request was sent: the process of the server has ended. It closed connections
-    /// in order, and nothing listens at its address any more. A lost route or a reset is a
-    /// [`PoolError::Unsent`].
+    /// No part of the request was sent: the process of the server has ended. It closed a connection with
+    /// a request in progress in order, and nothing listens at its address any more. A lost route, a reset,
+    /// or a refusal after the close of an idle connection is a [`PoolError::Unsent`].
     #[error("not connected, the process has ended: {0}")]
     Ended(String),
     /// The request may have reached the server, but no response was received.
