Do not count planned leaves of workers as crashes

Cause: the end of a worker's process counted as a proven crash of its tasks unless its holder had read that it was draining. A holder that the store rejects can't read that, and those that can told nobody.

Change: relays tell the linked holders and relays which boots drain, at once and on new connections. Such a boot gets no tasks, and its end is no crash. A holder that has not read the registry for 3 s takes no end for a proven crash: three losses still end the job, but as lost.

Tests: `leaves_that_only_others_read_of_are_no_crashes` and `unread_leaves_are_no_proven_crashes` get `Failed` with the reports ignored and the age of the registry not counted. Frames: `drains`.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -72,6 +72,7 @@
             Event::WorkersListed(entries) => {
                 systems::registrations::handle_list(world, now, entries);
             }
+            Event::RegistryRead => world.registry_read_at = Some(now),
             Event::VmsListed(entries) => handle_vm_list(world, &entries),
             Event::VmRefused(vm) => systems::peers::handle_refusal(world, vm),
             Event::PeerUp(peer) => systems::peers::add_peer(world, cx, peer),
@@ -123,6 +124,7 @@
         systems::dispatch::run(world, cx);
         systems::suspect_reports::send(world, cx);
         systems::start_reports::send(world, cx);
+        systems::drain_reports::send(world, cx);
         systems::stops::run(world, cx);
         systems::polls::run(world, cx);
         systems::entry::run(world, cx);
@@ -247,6 +249,7 @@
         Message::Queues(table) => systems::configuration::adopt(world, cx, table),
         Message::Suspects(reports) => systems::suspect_reports::handle(world, cx, &reports),
         Message::Starts(reports) => systems::start_reports::handle(world, cx, &reports),
+        Message::Drains(reports) => systems::drain_reports::handle(world, cx.now, &reports),
     }
 }
 
--- a/crates/core/src/guarded/event.rs
+++ b/crates/core/src/guarded/event.rs
@@ -44,6 +44,8 @@
     Worker(WorkerEntry),
     /// A worker was removed from the registry.
     WorkerGone(WorkerId),
+    /// The registry was read, whether or not anything in it had changed.
+    RegistryRead,
     /// Full list of the workers in the registry.
     WorkersListed(Vec<WorkerEntry>),
     /// Full list of the entry VMs in the registry, with or without this one.
--- a/crates/core/src/guarded/model/message.rs
+++ b/crates/core/src/guarded/model/message.rs
@@ -59,6 +59,17 @@
     Suspects(Vec<SuspectReport>),
     /// What the sender learned of starts that may still be carried out.
     Starts(Vec<StartReport>),
+    /// Workers that the sender read to be draining.
+    Drains(Vec<DrainReport>),
+}
+
+/// A boot of a worker that is about to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainReport {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its boot, as in its entry.
+    pub boot: u64,
 }
 
 /// What a VM learned of a start that a worker did not answer. The task may be submitted again at any
--- a/crates/core/src/guarded/systems/crashes.rs
+++ b/crates/core/src/guarded/systems/crashes.rs
@@ -27,6 +27,10 @@
 /// Number of crashes that no task explains up to which a worker does not count as their cause.
 const MAX_UNEXPLAINED_CRASHES: u32 = 2;
 
+/// Maximum time since the registry was read for the end of a process to prove a crash. The worker may have
+/// left as announced since. Workers announce that some seconds before they leave.
+const MAX_REGISTRY_AGE: Duration = Duration::from_secs(3);
+
 /// A worker that was lost with its runs, until the loss is judged.
 #[derive(Clone, Debug)]
 pub struct WorkerLoss {
@@ -85,11 +89,14 @@
         runs = %RunList { now: cx.now, runs: &row.runs },
         "worker lost with its runs"
     );
-    if row.entry.draining {
+    if row.entry.draining || world.drains.contains(id, row.boot) {
         return;
     }
     let boot = row.boot;
-    let may_be_proven = end == WorkerEnd::Ended && had_lease(row, cx.now, world.policy.lease);
+    let read_at = world.registry_read_at;
+    let knows_drains = read_at.is_none_or(|at| cx.now.since(at) <= MAX_REGISTRY_AGE);
+    let may_be_proven =
+        end == WorkerEnd::Ended && knows_drains && had_lease(row, cx.now, world.policy.lease);
     let may_blame_task = unexplained <= MAX_UNEXPLAINED_CRASHES;
     let lost = row.runs.values().filter(|run| !is_alive(run));
     let lost: Vec<&Run> = lost.collect();
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -63,6 +63,7 @@
     let mut rows = world.workers.values();
     rows.any(|row| {
         row.is_usable(now, stale_after)
+            && !world.drains.contains(row.entry.id, row.boot)
             && row.may_extend_lease()
             && row.admits_run()
             && row.free().cpu_milli > 0
@@ -239,6 +240,7 @@
 ) -> bool {
     row.entry.upstream == job.job.settings.upstream
         && row.is_usable(now, world.policy.worker_stale_after)
+        && !world.drains.contains(row.entry.id, row.boot)
         && row.may_extend_lease()
         && row.admits_run()
         && row.free().can_fit(&step.need)
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -11,6 +11,7 @@
 pub mod containment;
 pub mod crashes;
 pub mod dispatch;
+pub mod drain_reports;
 pub mod entry;
 pub mod evacuations;
 pub mod heartbeats;
--- a/crates/core/src/guarded/systems/peers.rs
+++ b/crates/core/src/guarded/systems/peers.rs
@@ -3,7 +3,9 @@
 //! A lost connection ends the jobs that depend on it, but the peer counts as gone only once it has
 //! been silent for its limit, or refuses connections.
 
-use super::{entry, evacuations, heartbeats, runner, start_reports, suspect_reports};
+use super::{
+    drain_reports, entry, evacuations, heartbeats, runner, start_reports, suspect_reports,
+};
 use crate::guarded::action::Action;
 use crate::guarded::model::message::{Heartbeat, RemoteHolder};
 use crate::guarded::tables::peer::Peer;
@@ -29,6 +31,7 @@
     heartbeats::send(world, cx, &[peer]);
     suspect_reports::report_to(world, cx, peer);
     start_reports::report_to(world, cx, peer);
+    drain_reports::report_to(world, cx, peer);
 }
 
 /// Removes the peers that ran on the same VM before: a process that has started anew knows nothing
--- a/crates/core/src/guarded/systems/registrations.rs
+++ b/crates/core/src/guarded/systems/registrations.rs
@@ -8,7 +8,7 @@
 //! The address of a worker with runs does not change: what answers at another address proves nothing about
 //! them. The new entry waits until they have ended there, or their lease has expired.
 
-use super::{cell_assignment, holds, starts_in_flight};
+use super::{cell_assignment, drain_reports, holds, starts_in_flight};
 use crate::collections::FastSet;
 use crate::guarded::model::ids::WorkerId;
 use crate::guarded::model::worker::WorkerEntry;
@@ -29,6 +29,7 @@
         world.registry.set_aside(entry);
         return;
     }
+    drain_reports::note(world, now, &entry);
     world.registry.insert(now, entry.clone());
     if let Some(row) = world.workers.get_mut(&id) {
         update(row, now, entry);
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -1,6 +1,7 @@
 //! Tables that the systems work on.
 
 pub mod bulkhead;
+pub mod drains;
 pub mod entry_job;
 pub mod estimator;
 pub mod evacuation;
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -4,13 +4,14 @@
 use super::model::answer::Answer;
 use super::model::cell::Cell;
 use super::model::ids::{ClientJobId, FencingToken, QueueId, RunId, TaskId, WorkerId};
-use super::model::message::{StartReport, SuspectReport};
+use super::model::message::{DrainReport, StartReport, SuspectReport};
 use super::model::queue::QueueTable;
 use super::model::reply::RunEnd;
 use super::policy::Policy;
 use super::stats::Stats;
 use super::systems::crashes::WorkerLoss;
 use super::tables::bulkhead::Bulkhead;
+use super::tables::drains::Drains;
 use super::tables::entry_job::EntryJob;
 use super::tables::estimator::Estimator;
 use super::tables::evacuation::EvacuationTable;
@@ -94,6 +95,12 @@
     pub evacuations: EvacuationTable,
     /// Workers that the store lists.
     pub registry: WorkerRegistry,
+    /// Time at which the registry was last read; `None` if that is not reported.
+    pub registry_read_at: Option<Time>,
+    /// Boots of workers that are about to leave.
+    pub drains: Drains,
+    /// What `systems::drain_reports` tells the other holders.
+    pub drain_reports: Vec<DrainReport>,
     /// Workers of the claimed cells, and others whose runs are not known to have ended.
     pub workers: BTreeMap<WorkerId, Worker>,
     /// Entry VMs that the store lists.
@@ -187,6 +194,9 @@
             queues_requested_at: None,
             evacuations: EvacuationTable::default(),
             registry: WorkerRegistry::default(),
+            registry_read_at: None,
+            drains: Drains::default(),
+            drain_reports: Vec::new(),
             workers: BTreeMap::new(),
             directory: VmDirectory::default(),
             peers: BTreeMap::new(),
--- a/crates/core/tests/guarded/crashes.rs
+++ b/crates/core/tests/guarded/crashes.rs
@@ -471,3 +471,49 @@
         assert_eq!(suspects(sim), 1, "the crash of the first boot counts");
     };
 }
+
+/// Workers whose planned leave ends the run of a job, one after the other.
+const LEAVES: usize = 3;
+
+/// Submits a job, and lets the worker that runs it leave as planned, in the middle of a run, several times.
+/// The holder can't read the registry. Returns the answer of the job.
+fn leave_with_runs(sim: &mut Sim, drain: fn(&mut Sim, usize)) -> Option<Answer> {
+    let shape = JobShape {
+        work_ms: 3_000,
+        client_timeout_ms: 30_000,
+        ..JobShape::default()
+    };
+    for vm in 0..sim.shape().vms {
+        sim.read_registry(vm);
+    }
+    sim.advance(4_000);
+    let id = sim.submit_shape(sim.holder(0), shape);
+    for _ in 0..LEAVES {
+        sim.advance(600);
+        let mut workers = 0..sim.workers.len();
+        let Some(worker) = workers.find(|&worker| sim.workers[worker].running() > 0) else {
+            break;
+        };
+        drain(sim, worker);
+        sim.advance(600);
+        sim.crash_and_restart(worker);
+    }
+    sim.advance(9_000);
+    sim.history.jobs[&id].answer
+}
+
+simulation_tests! {
+    /// Guards against jobs that fail for planned leaves of workers: the store rejects the VMs that hold
+    /// them, and the others, which read that they drain, tell nobody.
+    leaves_that_only_others_read_of_are_no_crashes(TWO_DATA_CENTRES) => |sim| {
+        let answer = leave_with_runs(sim, Sim::drain_unread);
+        assert_eq!(answer, Some(Answer::Completed));
+    };
+
+    /// Guards against the same when nobody can read of it: a holder that has not read the registry for
+    /// seconds can't tell a leave from a crash, so the job is lost after three, but not failed.
+    unread_leaves_are_no_proven_crashes(TWO_DATA_CENTRES) => |sim| {
+        let answer = leave_with_runs(sim, |_, _| {});
+        assert!(answer.is_some() && answer != Some(Answer::Failed), "{answer:?}");
+    };
+}
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -55,6 +55,23 @@
         }
     }
 
+    /// Marks a worker as draining in the registry, which the VMs of its data centre can't read.
+    pub fn drain_unread(&mut self, worker: usize) {
+        self.workers[worker].draining_since = Some(self.now);
+        let entry = self.registry_entry(worker);
+        for vm in 0..self.vms.len() {
+            let is_rejected = self.vms[vm].me.data_centre == entry.data_centre;
+            if self.vms[vm].follows_workers && !is_rejected {
+                self.push_event(self.now + 5 * MS, vm, Event::Worker(entry.clone()));
+            }
+        }
+    }
+
+    /// Lets a VM read the registry, in which nothing has changed.
+    pub fn read_registry(&mut self, vm: usize) {
+        self.push_event(self.now + MS, vm, Event::RegistryRead);
+    }
+
     /// Restarts a worker immediately, under the same id.
     pub fn reboot_worker(&mut self, worker: usize) {
         self.reboot_unlisted(worker);
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -3,6 +3,7 @@
 //! Records are CBOR arrays of their fields in a fixed order, as in [`crate::peers`]. Durations are
 //! in microseconds.
 
+mod drain;
 mod echo;
 mod evacuations;
 mod heartbeat;
@@ -10,6 +11,7 @@
 mod suspect;
 mod task;
 
+use self::drain::DrainReportWire;
 use self::echo::EchoWire;
 use self::heartbeat::HeartbeatWire;
 use self::start::StartReportWire;
@@ -29,6 +31,8 @@
 const MAX_SUSPECT_REPORTS: usize = 1_024;
 /// Maximum number of reports on starts in flight of one message that are read.
 const MAX_START_REPORTS: usize = 1_024;
+/// Maximum number of draining workers of one message that are read.
+const MAX_DRAIN_REPORTS: usize = 1_024;
 /// Maximum nesting depth of a frame.
 const MAX_DEPTH: usize = 16;
 
@@ -71,6 +75,8 @@
     Suspects(Vec<SuspectReportWire>),
     #[serde(rename = "s")]
     Starts(Vec<StartReportWire>),
+    #[serde(rename = "d")]
+    Drains(Vec<DrainReportWire>),
 }
 
 /// `id`, `settings`, `payload`, `steps`, `client_timeout`.
@@ -163,6 +169,7 @@
             ),
             Message::Suspects(reports) => Self::Suspects(reports.iter().map(Into::into).collect()),
             Message::Starts(reports) => Self::Starts(reports.iter().map(Into::into).collect()),
+            Message::Drains(reports) => Self::Drains(reports.iter().map(Into::into).collect()),
         }
     }
 }
@@ -206,6 +213,10 @@
                 let reports = reports.map(TryInto::try_into);
                 Self::Starts(reports.collect::<Result<_, _>>()?)
             }
+            MessageWire::Drains(reports) => {
+                let reports = reports.into_iter().take(MAX_DRAIN_REPORTS);
+                Self::Drains(reports.map(Into::into).collect())
+            }
         })
     }
 }
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -11,7 +11,7 @@
 };
 use cardamomslip_core::guarded::model::job::{Job, QueueSettings, Step};
 use cardamomslip_core::guarded::model::message::{
-    Heartbeat, Message, RemoteHolder, StartReport, SuspectReport,
+    DrainReport, Heartbeat, Message, RemoteHolder, StartReport, SuspectReport,
 };
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
@@ -159,6 +159,14 @@
     ])
 }
 
+fn drains() -> Message {
+    let report = |worker, boot| DrainReport {
+        worker: WorkerId(worker),
+        boot,
+    };
+    Message::Drains(vec![report(9, 17), report(u64::MAX, 0)])
+}
+
 fn starts() -> Message {
     let task = TaskId {
         job: ClientJobId(7),
@@ -212,6 +220,7 @@
 }))]
 #[case::suspected(finished(Answer::Lost(LossCause::Suspected)))]
 #[case::starts(starts())]
+#[case::drains(drains())]
 #[case::start_in_flight(finished(Answer::Lost(LossCause::StartInFlight)))]
 fn messages_survive_a_round_trip(#[case] message: Message) {
     let frame = message.encode();
