--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -85,6 +85,7 @@
     let mut rows = world.workers.values();
     rows.any(|row| {
         row.is_usable(now, stale_after)
+            && !world.drains.contains(row.entry.id, row.boot)
             && row.may_extend_lease()
             && row.admits_run()
             && row.free().cpu_milli > 0
@@ -262,6 +263,7 @@
 ) -> bool {
     row.entry.upstream == job.job.settings.upstream
         && row.is_usable(now, world.policy.worker_stale_after)
+        && !world.drains.contains(row.entry.id, row.boot)
         && row.may_extend_lease()
         && row.admits_run()
         && row.free().can_fit(&step.need)
@@ -302,7 +304,8 @@
 /// Starts a task on a worker. Returns `None` if the worker or the job is gone, if the worker's
 /// clock is not known, or if its lease must not be extended.
 fn start_run(world: &mut World, cx: &mut Cx<'_>, task: TaskId, worker: WorkerId) -> Option<RunId> {
-    let token = world.workers.get(&worker)?.token;
+    let row = world.workers.get(&worker)?;
+    let (token, address) = (row.token, row.entry.address);
     let lease_end_ms = leases::renew(world, cx.now, worker)?;
     let row = world.workers.get(&worker)?;
     let job = world.jobs.get(&task.job)?;
@@ -356,6 +359,7 @@
     );
     cx.emit(Action::Start(Start {
         worker,
+        address,
         run,
         payload,
         token,
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -3,6 +3,7 @@
 pub mod bulkhead;
 pub mod cancel_marks;
 pub mod cancellation;
+pub mod drains;
 pub mod entry_job;
 pub mod estimator;
 pub mod evacuation;
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -21,6 +21,7 @@
 mod loads;
 mod oracle;
 mod recovery;
+mod registrations;
 mod scale;
 mod share_decisions;
 mod silent_clients;
--- a/src/guarded/wire/mod.rs
+++ b/src/guarded/wire/mod.rs
@@ -4,6 +4,7 @@
 //! in microseconds.
 
 mod cancel;
+mod drain;
 mod echo;
 mod evacuations;
 mod heartbeat;
@@ -12,6 +13,7 @@
 mod task;
 
 use self::cancel::{CancelMarkWire, CancelReplyWire, CancelRequestWire};
+use self::drain::DrainReportWire;
 use self::echo::EchoWire;
 use self::heartbeat::HeartbeatWire;
 use self::start::StartReportWire;
@@ -33,6 +35,8 @@
 const MAX_START_REPORTS: usize = 1_024;
 /// Maximum number of rows about cancellations of one message that are read.
 const MAX_CANCEL_ROWS: usize = 1_024;
+/// Maximum number of draining workers of one message that are read.
+const MAX_DRAIN_REPORTS: usize = 1_024;
 /// Maximum nesting depth of a frame.
 const MAX_DEPTH: usize = 16;
 
@@ -79,6 +83,8 @@
     Suspects(Vec<SuspectReportWire>),
     #[serde(rename = "s")]
     Starts(Vec<StartReportWire>),
+    #[serde(rename = "d")]
+    Drains(Vec<DrainReportWire>),
 }
 
 /// `id`, `settings`, `payload`, `steps`, `client_timeout`.
@@ -176,6 +182,7 @@
             ),
             Message::Suspects(reports) => Self::Suspects(reports.iter().map(Into::into).collect()),
             Message::Starts(reports) => Self::Starts(reports.iter().map(Into::into).collect()),
+            Message::Drains(reports) => Self::Drains(reports.iter().map(Into::into).collect()),
         }
     }
 }
@@ -227,6 +234,10 @@
                 let reports = reports.map(TryInto::try_into);
                 Self::Starts(reports.collect::<Result<_, _>>()?)
             }
+            MessageWire::Drains(reports) => {
+                let reports = reports.into_iter().take(MAX_DRAIN_REPORTS);
+                Self::Drains(reports.map(Into::into).collect())
+            }
         })
     }
 }
