Refuse a job for its length only after its first dispatch

Which of the two came first depended on the time at which the request arrived.

A job is now refused for its expected end only after the dispatch has looked at it once.

--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -36,6 +36,13 @@
 /// Starts waiting tasks while workers have free capacity.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     quarantine::run(world, cx);
+    start_jobs(world, cx);
+    for job in world.jobs.values_mut() {
+        job.is_offered = true;
+    }
+}
+
+fn start_jobs(world: &mut World, cx: &mut Cx<'_>) {
     if !has_free_worker(world, cx.now) {
         return;
     }
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -122,6 +122,11 @@
             retry_after: wait,
         });
     }
+    // A sweep may come before the first dispatch of a job, which starts it if it fits. A job that has
+    // begun isn't refused, so the outcome must not depend on which of the two comes first.
+    if !job.is_offered {
+        return None;
+    }
     let left = job.work_left(&world.estimator);
     let too_late = cx.now + wait + left > job.deadline;
     too_late.then_some(Answer::Refused {
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -59,6 +59,8 @@
     pub unfinished: Vec<u32>,
     /// Whether any run was ever started.
     pub started: bool,
+    /// Whether the dispatch had a chance to start it.
+    pub is_offered: bool,
 }
 
 impl RunnerJob {
@@ -93,6 +95,7 @@
             deadline: submitted_at + job.client_timeout,
             overdue_at: submitted_at + job.client_timeout + CLIENT_TIMEOUT_SLACK,
             started: false,
+            is_offered: false,
             job,
         }
     }
--- a/crates/core/tests/guarded/loads.rs
+++ b/crates/core/tests/guarded/loads.rs
@@ -1,6 +1,6 @@
 //! Load and fault scenarios: which jobs complete, wait or are refused, and where they run.
 
-use crate::sim::{EQUAL, MS, Shape, Sim};
+use crate::sim::{CatchUp, EQUAL, MS, Shape, Sim};
 use crate::worker::Behaviour;
 use cardamomslip_core::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use cardamomslip_core::guarded::model::ids::ClientJobId;
@@ -65,6 +65,18 @@
         }
     };
 
+    /// A job whose estimate exceeds its client's timeout starts on idle workers, also if it arrives
+    /// during a stall that ends with a sweep. Guards against a refusal as overloaded by a sweep that
+    /// comes before the first dispatch.
+    a_job_is_not_refused_before_its_first_dispatch(ONE_VM) => |sim| {
+        let id = sim.submit(0, 1, 60_000, 0);
+        sim.freeze(0, 40);
+        sim.catch_up = Some(CatchUp::BeforeTick);
+        sim.advance(60);
+        assert_eq!(answer(sim, id), None);
+        assert_eq!(starts(sim), 1);
+    };
+
     /// A burst of 60 jobs amounts to 30 s of work. Jobs that can't end within the client's timeout
     /// are refused immediately, with a time after which to try again.
     jobs_that_cannot_end_in_time_are_refused_at_once(ONE_VM) => |sim| {
