--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -48,6 +48,13 @@
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     quarantine::run(world, cx);
     shares::update(world, cx.now);
+    start_jobs(world, cx);
+    for job in world.jobs.values_mut() {
+        job.is_offered = true;
+    }
+}
+
+fn start_jobs(world: &mut World, cx: &mut Cx<'_>) {
     if !has_free_worker(world, cx.now) {
         shares::record_shortage_if_waiting(world, cx.now);
         return;
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -63,6 +63,8 @@
     pub was_put_first: bool,
     /// Whether shares ever held it back behind a job of another queue.
     pub was_held_back: bool,
+    /// Whether the dispatch had a chance to start it.
+    pub is_offered: bool,
 }
 
 impl RunnerJob {
@@ -99,6 +101,7 @@
             started: false,
             was_put_first: false,
             was_held_back: false,
+            is_offered: false,
             job,
         }
     }
