--- a/crates/core/src/guarded/systems/cancels.rs
+++ b/crates/core/src/guarded/systems/cancels.rs
@@ -76,10 +76,7 @@
     let clients = Asker::Clients(vec![call]);
     match local {
         Local::Ended => finish(world, cx, id, &clients, CancelOutcome::Cancelled),
-        Local::AtRunner(peer) => {
-            tell_all_holders(world, cx.now, id);
-            wait_for_runner(world, cx, id, clients, peer);
-        }
+        Local::AtRunner(peer) => wait_for_runner(world, cx, id, clients, peer),
         Local::Unknown if world.cancel_marks.is_found(cx.now, id) => {
             acknowledge(world, cx, id, &[call], CancelOutcome::Cancelled);
         }
