Order jobs by parts of the room that short tasks do not inflate

In a burst of long tasks, jobs of the queues that did not change were late or failed. A wide job of short tasks counted as a demand for room that it needs for a moment, so that the shares of the other queues shrank below their usual use; and queues at their share waited for each small excess.

Waiting tasks now count with their CPU time spread over a second. Queues below their part by weight go first, then those below their share or usual use.

--- a/crates/core/src/guarded/model/queue_use.rs
+++ b/crates/core/src/guarded/model/queue_use.rs
@@ -18,7 +18,7 @@
     pub held_milli: u64,
     /// CPU that it uses in the mean over a longer time, in thousandths of a core.
     pub usual_milli: u64,
-    /// CPU that its waiting tasks need, in thousandths of a core.
+    /// CPU that its waiting tasks will use, spread over a second, in thousandths of a core.
     pub waiting_milli: u64,
 }
 
--- a/crates/core/src/guarded/shares/division.rs
+++ b/crates/core/src/guarded/shares/division.rs
@@ -11,7 +11,7 @@
 pub struct Claim {
     /// Weight among the other queues, above 0.
     pub weight: f64,
-    /// CPU that it uses and waits for.
+    /// CPU that it uses and will use for its waiting tasks.
     pub demand: f64,
     /// CPU that it uses in the mean over a longer time.
     pub usual: f64,
@@ -32,14 +32,11 @@
 /// not displace another one whose usual use exceeds its part by weight.
 #[must_use]
 pub fn divide(room: f64, claims: &[Claim]) -> Vec<f64> {
-    let active = claims.iter().filter(|claim| claim.demand >= MIN_DEMAND);
-    let weights: f64 = active.map(|claim| claim.weight).sum();
-    let part = |claim: &Claim| {
-        claim
-            .wanted()
-            .min(room * claim.weight / weights.max(claim.weight))
-    };
-    let mut shares: Vec<f64> = claims.iter().map(part).collect();
+    let parts = parts(room, claims);
+    let wanted = claims.iter().zip(parts);
+    let mut shares: Vec<f64> = wanted
+        .map(|(claim, part)| claim.wanted().min(part))
+        .collect();
     distribute(room, claims, &mut shares, |claim| {
         claim.wanted().min(claim.usual * USUAL_MARGIN)
     });
@@ -47,6 +44,36 @@
     shares
 }
 
+/// Returns up to which use each claim goes first: its share, its part by weight or its usual use if the
+/// others leave that of their parts, whichever is most. The sum may exceed the room: queues with short tasks
+/// use what they may for moments only, and a queue at its usual use must not wait for each small excess of
+/// another.
+#[must_use]
+pub fn first_limits(room: f64, claims: &[Claim], shares: &[f64]) -> Vec<f64> {
+    let parts = parts(room, claims);
+    let taken = claims.iter().zip(&parts);
+    let taken: Vec<f64> = taken
+        .map(|(claim, &part)| claim.wanted().min(part))
+        .collect();
+    let all_taken: f64 = taken.iter().sum();
+    let limits = claims.iter().enumerate().map(|(i, claim)| {
+        let left = room - (all_taken - taken[i]);
+        let usual = (claim.usual * USUAL_MARGIN).min(left);
+        shares[i].max(parts[i]).max(usual).min(claim.limit)
+    });
+    limits.collect()
+}
+
+/// Returns the part of each claim by weight, up to its limit, whatever it wants.
+#[must_use]
+pub fn parts(room: f64, claims: &[Claim]) -> Vec<f64> {
+    let active = claims.iter().filter(|claim| claim.demand >= MIN_DEMAND);
+    let weights: f64 = active.map(|claim| claim.weight).sum();
+    let part = |claim: &Claim| room * claim.weight / weights.max(claim.weight);
+    let limited = claims.iter().map(|claim| part(claim).min(claim.limit));
+    limited.collect()
+}
+
 /// Distributes what the shares leave of the room by weight, until each one has `target`.
 fn distribute(room: f64, claims: &[Claim], shares: &mut [f64], target: impl Fn(&Claim) -> f64) {
     let mut room_left = room - shares.iter().sum::<f64>();
--- a/crates/core/src/guarded/shares/mod.rs
+++ b/crates/core/src/guarded/shares/mod.rs
@@ -8,7 +8,7 @@
 pub mod settings;
 pub mod size_classes;
 
-pub use division::{Claim, divide};
+pub use division::{Claim, divide, first_limits, parts};
 pub use order::{Budget, Entrant, Standing, order};
 pub use settings::ShareSettings;
 pub use size_classes::{SizeClass, SizeClasses};
--- a/crates/core/src/guarded/shares/order.rs
+++ b/crates/core/src/guarded/shares/order.rs
@@ -7,6 +7,8 @@
 /// What a queue may still get, in thousandths of a core.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
+    /// Part that it does not use of its part by weight; negative above that.
+    pub part_left: f64,
     /// Part of its share that it does not use; negative above its share.
     pub share_left: f64,
     /// Part of its quota that it does not use; negative above its quota.
@@ -16,9 +18,11 @@
 /// Group of a job; the lower one goes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
-    /// The job has begun, or fits in what its queue does not use of its share.
+    /// The job has begun, or is urgent and its queue uses less than its part by weight.
     #[default]
     First,
+    /// The job is urgent and its queue uses less than its share.
+    WithinShare,
     /// Its queue uses its share.
     AboveShare,
     /// Its queue uses its quota.
@@ -50,7 +54,8 @@
 
 /// Sorts jobs, given in the order that would apply without shares.
 ///
-/// Jobs that have begun, and those that fit in what their queue does not use of its share, go first.
+/// Jobs that have begun go first, with urgent ones that fit in what their queue does not use of its part by
+/// weight; then urgent ones that fit in its share.
 /// Within a group the given order applies. Within a queue, sizes that are behind go before others
 /// that have not begun.
 pub fn order<T, S: BuildHasher>(
@@ -99,6 +104,8 @@
                 Standing::AboveQuota
             } else if budget.share_left <= 0.0 || !entrant.is_urgent {
                 Standing::AboveShare
+            } else if budget.part_left <= 0.0 {
+                Standing::WithinShare
             } else {
                 Standing::First
             }
@@ -109,6 +116,7 @@
 
 fn charge<T>(budgets: &mut FastMap<QueueId, Budget>, entrant: &Entrant<T>) {
     if let Some(budget) = budgets.get_mut(&entrant.queue) {
+        budget.part_left -= entrant.need_milli;
         budget.share_left -= entrant.need_milli;
         budget.quota_left -= entrant.need_milli;
     }
--- a/crates/core/src/guarded/systems/shares.rs
+++ b/crates/core/src/guarded/systems/shares.rs
@@ -10,7 +10,9 @@
 use crate::guarded::model::ids::{ClientJobId, QueueId};
 use crate::guarded::model::job::Job;
 use crate::guarded::model::queue_use::{MAX_QUEUE_USES, QueueUse};
-use crate::guarded::shares::{Budget, Claim, Entrant, ShareSettings, Standing, divide, order};
+use crate::guarded::shares::{
+    Budget, Claim, Entrant, ShareSettings, Standing, divide, first_limits, order, parts,
+};
 use crate::guarded::stats::QueueShare;
 use crate::guarded::tables::runner_job::RunnerJob;
 use crate::guarded::world::World;
@@ -18,6 +20,10 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time over which the work of waiting tasks is spread to compare it with what is in use.
+const WAITING_SPAN: Duration = Duration::from_secs(1);
 
 /// A waiting job with its rank.
 pub type RankedJob = (Rank, ClientJobId);
@@ -36,6 +42,9 @@
 struct Share {
     total: Total,
     share_milli: f64,
+    part_milli: f64,
+    /// Use up to which its jobs go first.
+    first_milli: f64,
     quota_milli: f64,
 }
 
@@ -188,7 +197,7 @@
         let share = shares.get(&queue);
         let is_above = share.is_some_and(|row| {
             let others_wait = waiting > row.total.waiting_milli;
-            others_wait && row.total.held_milli > row.share_milli
+            others_wait && row.total.held_milli > row.first_milli
         });
         let name = names.as_ref().and_then(|table| table.name(queue));
         match account.record_excess(now, is_above) {
@@ -267,15 +276,22 @@
     });
     let claims: Vec<Claim> = claims.collect();
     let shares = divide(room_milli, &claims);
-    let rows = totals.into_iter().zip(claims.iter().zip(shares));
-    let rows = rows.map(|((queue, total), (claim, share_milli))| {
-        let share = Share {
-            total,
-            share_milli,
-            quota_milli: claim.limit,
-        };
-        (queue, share)
-    });
+    let limits = first_limits(room_milli, &claims, &shares);
+    let results = parts(room_milli, &claims).into_iter().zip(limits);
+    let results = claims.iter().zip(shares.into_iter().zip(results));
+    let rows = totals.into_iter().zip(results);
+    let rows = rows.map(
+        |((queue, total), (claim, (share_milli, (part_milli, first_milli))))| {
+            let share = Share {
+                total,
+                share_milli,
+                part_milli,
+                first_milli,
+                quota_milli: claim.limit,
+            };
+            (queue, share)
+        },
+    );
     Division {
         shares: rows.collect(),
         own_part: if room_milli > 0.0 {
@@ -292,7 +308,8 @@
         let rows = self.shares.iter().map(|(&queue, row)| {
             let left = |limit: f64| (limit - row.total.held_milli) * self.own_part;
             let budget = Budget {
-                share_left: left(row.share_milli),
+                part_left: left(row.part_milli),
+                share_left: left(row.first_milli),
                 quota_left: left(row.quota_milli),
             };
             (queue, budget)
@@ -323,7 +340,7 @@
     let mut totals: BTreeMap<QueueId, Total> = rows.collect();
     for job in world.jobs.values() {
         if let Some(total) = totals.get_mut(&job.job.settings.queue) {
-            total.waiting_milli += to_float(job.due_milli());
+            total.waiting_milli += waiting_milli(world, job);
         }
     }
     totals
@@ -350,6 +367,17 @@
     reported
 }
 
+/// Returns the CPU that the due tasks of a job use if they are spread over [`WAITING_SPAN`]. A queue with
+/// many short tasks needs much room, but only for a moment.
+fn waiting_milli(world: &World, job: &RunnerJob) -> f64 {
+    let due = job.due_tasks().map(|task| {
+        let step = &job.job.steps[task.id.step as usize];
+        let run_time = world.estimator.predict(step.estimate, None);
+        to_float(step.need.cpu_milli) * run_time.div_duration_f64(WAITING_SPAN)
+    });
+    due.sum()
+}
+
 #[allow(clippy::cast_precision_loss, reason = "an estimate")]
 const fn to_float(milli: u64) -> f64 {
     milli as f64
--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -23,6 +23,7 @@
 mod recovery;
 mod scale;
 mod share_decisions;
+mod shares;
 mod silent_clients;
 mod sim;
 mod slow_vms;
--- a/crates/core/tests/guarded/share_decisions.rs
+++ b/crates/core/tests/guarded/share_decisions.rs
@@ -72,6 +72,7 @@
 
 fn budgets(a: f64, b: f64) -> HashMap<QueueId, Budget> {
     let budget = |left| Budget {
+        part_left: left,
         share_left: left,
         quota_left: f64::MAX,
     };
@@ -125,6 +126,16 @@
     assert!(!jobs[0].is_held_back);
 }
 
+/// Queue A uses less than its part by weight; B only uses what others leave. A must not wait for B.
+#[test]
+fn parts_by_weight_go_before_what_others_leave() {
+    let mut budgets = budgets(100.0, 100.0);
+    budgets.get_mut(&B).expect("B has a budget").part_left = -1.0;
+    let mut jobs = [entrant(B, 0), entrant(A, 1)];
+    order(&mut jobs, &budgets);
+    assert_eq!(items(&jobs), [1, 0]);
+}
+
 #[test]
 fn a_queue_above_its_quota_goes_last() {
     let mut budgets = budgets(-5.0, 100.0);
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -149,6 +149,8 @@
     pub sent_bytes: u64,
     /// Same for the received ones.
     pub received_bytes: u64,
+    /// Rows on the use of queues in the sent ones.
+    pub queue_uses: u64,
 }
 
 /// Upper bounds of the parts of an encoded heartbeat in bytes, which `tests/guarded_frames.rs` of
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -239,6 +239,7 @@
         let bytes: u64 = parts.map(|(&count, size)| count as u64 * size).sum();
         self.heartbeats[vm].sent += 1;
         self.heartbeats[vm].sent_bytes += bytes;
+        self.heartbeats[vm].queue_uses += heartbeat.queue_uses.len() as u64;
         if let Some(peer) = (0..self.vms.len()).find(|&peer| self.vms[peer].me == to) {
             self.heartbeats[peer].received += 1;
             self.heartbeats[peer].received_bytes += bytes;
