Judge size classes by the jobs that complete

A large job counted as served once a task of it had started, though it often ran out of time later, so its class did not count as behind. Outcomes now count when a job completes, is refused or runs out of time.

--- a/crates/core/src/guarded/shares/size_classes.rs
+++ b/crates/core/src/guarded/shares/size_classes.rs
@@ -33,26 +33,26 @@
 /// Recent outcomes of a class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Outcomes {
-    begun: f64,
-    refused: f64,
+    served: f64,
+    unserved: f64,
 }
 
 impl Outcomes {
     fn total(&self) -> f64 {
-        self.begun + self.refused
+        self.served + self.unserved
     }
 
     fn rate(&self) -> Option<f64> {
-        (self.total() >= MIN_OUTCOMES).then(|| self.begun / self.total())
+        (self.total() >= MIN_OUTCOMES).then(|| self.served / self.total())
     }
 
     fn decay(&mut self, factor: f64) {
-        self.begun *= factor;
-        self.refused *= factor;
+        self.served *= factor;
+        self.unserved *= factor;
     }
 }
 
-/// Sizes of a queue's recent jobs, and how many of each class began.
+/// Sizes of a queue's recent jobs, and how many of each class were completed.
 #[derive(Clone, Debug, Default)]
 pub struct SizeClasses {
     /// The last sizes; the oldest one is replaced next once it is full.
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Records that a job has begun, or was refused before.
-    pub fn record_outcome(&mut self, now: Time, size: u64, has_begun: bool) {
+    /// Records whether a job was completed in time.
+    pub fn record_outcome(&mut self, now: Time, size: u64, is_served: bool) {
         let passed = now.since(self.decayed_at).as_secs_f64();
         let factor = 0.5_f64.powf(passed / COUNT_HALF_LIFE.as_secs_f64());
         self.decayed_at = now;
@@ -109,14 +109,14 @@
             outcomes.decay(factor);
         }
         let outcomes = &mut self.outcomes[self.classify(size) as usize];
-        if has_begun {
-            outcomes.begun += 1.0;
+        if is_served {
+            outcomes.served += 1.0;
         } else {
-            outcomes.refused += 1.0;
+            outcomes.unserved += 1.0;
         }
     }
 
-    /// Returns whether jobs of this size begin less often than they should, compared with the rest.
+    /// Returns whether jobs of this size are completed less often than they should, compared with the rest.
     #[must_use]
     pub fn is_behind(&self, size: u64) -> bool {
         let class = self.classify(size);
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -311,10 +311,6 @@
     let (need, estimate): (Resources, Duration) = (step.need, step.estimate);
     let payload = Arc::clone(&job.job.payload);
     let queue = job.job.settings.queue;
-    if !job.started {
-        let job = Arc::clone(&job.job);
-        shares::record_outcome(world, cx.now, &job, true);
-    }
     let job = world.jobs.get_mut(&task.job)?;
     job.started = true;
     let row = job.task_mut(task)?;
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -197,8 +197,9 @@
     let Some(row) = remove_job(world, cx, id) else {
         return;
     };
-    if !row.started && matches!(answer, Answer::Refused { .. }) {
-        shares::record_outcome(world, cx.now, &row.job, false);
+    let is_served = answer == Answer::Completed;
+    if is_served || matches!(answer, Answer::Refused { .. } | Answer::Lost(_)) {
+        shares::record_outcome(world, cx.now, &row.job, is_served);
     }
     if matches!(
         answer,
@@ -253,7 +254,11 @@
     row.origins.retain(|known| *known != origin);
     if row.origins.is_empty() {
         tracing::info!(job = %id, "no client waits for the job any more; stopping its runs");
-        remove_job(world, cx, id);
+        if let Some(row) = remove_job(world, cx, id)
+            && cx.now >= row.deadline
+        {
+            shares::record_outcome(world, cx.now, &row.job, false);
+        }
         start_reports::add_origin(world, origin);
     }
 }
--- a/crates/core/src/guarded/systems/shares.rs
+++ b/crates/core/src/guarded/systems/shares.rs
@@ -102,17 +102,17 @@
     }
 }
 
-/// Records that a job has begun, or was refused before, while room is short.
-pub fn record_outcome(world: &mut World, now: Time, job: &Job, has_begun: bool) {
+/// Records that a job was completed, or was refused or ran out of time, while room is short.
+pub fn record_outcome(world: &mut World, now: Time, job: &Job, is_served: bool) {
     if !is_in_force(world, now) {
         return;
     }
     if let Some(account) = world.accounts.get_mut(job.settings.queue) {
-        account.sizes.record_outcome(now, size(job), has_begun);
+        account.sizes.record_outcome(now, size(job), is_served);
     }
 }
 
-/// Returns whether jobs of this size begin less often than the rest of their queue, so that they should
+/// Returns whether jobs of this size are completed less often than the rest of their queue, so that they should
 /// not be refused for an expected wait that is longer only because of their size.
 pub fn is_behind(world: &World, job: &Job) -> bool {
     let account = world.accounts.get(job.settings.queue);
--- a/crates/core/tests/guarded/shares.rs
+++ b/crates/core/tests/guarded/shares.rs
@@ -267,7 +267,7 @@
     assert!(a.failed * 3 <= a.on_time + a.late, "{a:?}");
 }
 
-/// One queue has twice the load that fits, of jobs whose CPU time varies by a factor of 16. Those of the
+/// One queue has 2.6 times the load that fits, of jobs whose CPU time varies by a factor of 16. Those of the
 /// largest tenth, and of the fifth below it, must complete at least half as often as the rest.
 #[test]
 #[ignore = "known failure, see KNOWN-RED.txt"]
