--- a/crates/core/tests/guarded/main.rs
+++ b/crates/core/tests/guarded/main.rs
@@ -24,6 +24,7 @@
 mod registrations;
 mod scale;
 mod share_decisions;
+mod shares;
 mod silent_clients;
 mod sim;
 mod slow_vms;
