The backlog of the test of a closed connection exceeds all buffers

The test now sends twice what both buffers can hold at most, in messages of 64 KiB of which the encoding takes no time.

--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -1,6 +1,6 @@
 //! Duplicate connections to the same peer.
 
-use cardamomslip::peers::{PeerAddress, PeerConfig, PeerHub, PeerSink};
+use cardamomslip::peers::{PeerAddress, PeerConfig, PeerHub, PeerMessage, PeerSink, WireError};
 use cardamomslip::settings::Secret;
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 struct EventSender(Sender<PeerEvent>);
 
-impl PeerSink<Message> for EventSender {
+impl<M> PeerSink<M> for EventSender {
     fn peer_up(&self, peer: Incarnation, link: u64) {
         self.0
             .send(PeerEvent::Up(peer, link))
@@ -37,13 +37,13 @@
         let _ = self.0.send(PeerEvent::Down(peer));
     }
 
-    fn message_received(&self, _: Incarnation, _: Message) {
+    fn message_received(&self, _: Incarnation, _: M) {
         self.0.send(PeerEvent::Message).expect("the test has ended");
     }
 }
 
-struct TestPeer {
-    hub: PeerHub<Message>,
+struct TestPeer<M: PeerMessage = Message> {
+    hub: PeerHub<M>,
     events: Receiver<PeerEvent>,
 }
 
@@ -59,7 +59,11 @@
     start_peer_with(runtime, vm, IDLE_TIMEOUT)
 }
 
-fn start_peer_with(runtime: &Runtime, vm: u64, idle_timeout: Duration) -> TestPeer {
+fn start_peer_with<M: PeerMessage>(
+    runtime: &Runtime,
+    vm: u64,
+    idle_timeout: Duration,
+) -> TestPeer<M> {
     let secret = Secret::new("a secret of the peers".to_owned());
     let listen = "127.0.0.1:0".parse().expect("an address");
     let config = PeerConfig::new(incarnation(vm), secret, idle_timeout, listen, Vec::new());
@@ -68,7 +72,7 @@
     TestPeer { hub, events }
 }
 
-fn peer_address(test_peer: &TestPeer, vm: u64) -> PeerAddress {
+fn peer_address<M: PeerMessage>(test_peer: &TestPeer<M>, vm: u64) -> PeerAddress {
     PeerAddress {
         vm: VmId(vm),
         address: test_peer.hub.address(),
@@ -174,13 +178,37 @@
     two.hub.close();
 }
 
-/// Number and size of messages that are too many for the buffers of a connection whose receiver reads
-/// nothing: 16 MB, where the system holds up to 4 MB to send and does not enlarge the buffer of a receiver
-/// that does not read.
-const BACKLOG: usize = 1_500;
-const HOLDERS_PER_MESSAGE: u64 = 400;
-/// Time limit, also for silence, that is longer than the encoding of the backlog takes: seconds in a debug
-/// build on a busy machine. The close follows it.
+/// Size of a bulk message, in bytes.
+const BULK_BYTES: usize = 64 * 1024;
+
+/// A message of which the encoding takes no time.
+struct Bulk;
+
+impl PeerMessage for Bulk {
+    fn encode(&self) -> Vec<u8> {
+        vec![7; BULK_BYTES]
+    }
+
+    fn decode(_: &[u8]) -> Result<Self, WireError> {
+        Ok(Self)
+    }
+}
+
+/// Returns the number of bulk messages that the buffers of a connection certainly can't hold: twice the
+/// maximum sizes to which the system enlarges them, also that of a receiver that reads nothing.
+fn backlog() -> usize {
+    let max = |name: &str| {
+        let file = format!("/proc/sys/net/ipv4/{name}");
+        let text = std::fs::read_to_string(file).expect("a limit");
+        let last = text.split_whitespace().next_back();
+        last.and_then(|text| text.parse::<usize>().ok())
+            .expect("a limit")
+    };
+    2 * (max("tcp_rmem") + max("tcp_wmem")) / BULK_BYTES
+}
+
+/// Time limit, also for silence, that is longer than the hub takes for the backlog on a busy machine. The
+/// close follows it.
 const LONG_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time without a message after which a peer that reads again has read all that will arrive.
 const QUIET_TIME: Duration = Duration::from_secs(1);
@@ -196,7 +224,7 @@
         .build()
         .expect("a runtime");
     let one = start_peer_with(&runtime, 1, LONG_IDLE_TIMEOUT);
-    let two = start_peer_with(&slow_runtime, 2, LONG_IDLE_TIMEOUT);
+    let two: TestPeer<Bulk> = start_peer_with(&slow_runtime, 2, LONG_IDLE_TIMEOUT);
     let (stall, stall_rx) = tokio::sync::oneshot::channel::<()>();
     let (stalled, stalled_rx) = channel::<()>();
     let (resume, resume_rx) = channel::<()>();
@@ -218,12 +246,9 @@
     assert!(matches!(up, Ok(PeerEvent::Up(..))), "got {up:?}");
     stall.send(()).expect("the peer");
     stalled_rx.recv_timeout(EVENT_TIMEOUT).expect("a stall");
-    let message = Message::Closed {
-        closed: peer,
-        holders: (0..HOLDERS_PER_MESSAGE).map(incarnation).collect(),
-    };
-    for _ in 0..BACKLOG {
-        one.hub.send_on(peer, link, message.clone());
+    let backlog = backlog();
+    for _ in 0..backlog {
+        one.hub.send_on(peer, link, Bulk);
     }
     one.hub.close_link(peer, link);
     let down = one.events.recv_timeout(LONG_IDLE_TIMEOUT);
@@ -235,5 +260,5 @@
     }
     end.send(()).expect("the peer");
     thread.join().expect("the peer");
-    assert!(received < BACKLOG, "all {received} messages arrived");
+    assert!(received < backlog, "all {received} messages arrived");
 }
