Forecast waits from the room on each worker

The expected wait of a job was one number for all sizes, (work ahead + own) / (cores). That is far too optimistic for tasks of half a worker: in bursts of large jobs, jobs were kept that could not end in time, and timed out or were refused after a second.

Jobs are refused by the optimistic end of that plan. Heartbeats report the room for five sizes of tasks, in 48 bytes at most.

The lint on the size of variants is allowed for the actor's input: most inputs are events.

Not yet: the histogram of the errors as a metric, and the refusal at an entry without a runner.

--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -12,6 +12,7 @@
 use super::stats::Stats;
 use super::systems;
 use super::tables::read_horizon::READ_DELAY;
+use super::tables::room::WaitObservation;
 use super::tables::worker::Hold;
 use super::world::{Cx, Phase, Timer, World};
 use crate::collections::FastSet;
@@ -157,6 +158,12 @@
         self.world.queues.as_ref()
     }
 
+    /// Takes the observed waits of jobs since the last call, which are bounded in number.
+    #[must_use]
+    pub fn take_wait_observations(&mut self) -> Vec<WaitObservation> {
+        self.world.room.take_observations()
+    }
+
     /// Returns the counters and current gauges.
     #[must_use]
     pub fn stats(&self) -> Stats {
--- a/crates/core/src/guarded/mod.rs
+++ b/crates/core/src/guarded/mod.rs
@@ -31,6 +31,7 @@
 pub mod action;
 mod dispatcher;
 pub mod event;
+pub mod forecast;
 pub mod model;
 pub mod policy;
 pub mod stats;
@@ -43,3 +44,4 @@
 pub use event::Event;
 pub use policy::Policy;
 pub use stats::Stats;
+pub use tables::room::WaitObservation;
--- a/crates/core/src/guarded/model/cell.rs
+++ b/crates/core/src/guarded/model/cell.rs
@@ -1,6 +1,7 @@
 //! Cells: groups of workers with one holder.
 
 use super::job::MAX_TIME;
+use super::room::{RoomSummary, TasksNeed};
 use super::worker::WorkerEntry;
 use crate::model::ids::DataCentreId;
 use std::time::Duration;
@@ -48,6 +49,8 @@
     pub waiting_milli: u64,
     /// Mean run time of the holder's runs.
     pub mean_run: Duration,
+    /// Room by the size of tasks; `None` from a holder that makes no forecasts.
+    pub room: Option<RoomSummary>,
 }
 
 /// Maximum of each amount of CPU of a holder, in thousandths of a core.
@@ -62,6 +65,7 @@
             free_milli: self.free_milli.min(MAX_MILLI),
             waiting_milli: self.waiting_milli.min(MAX_MILLI),
             mean_run: self.mean_run.min(MAX_TIME),
+            room: self.room,
         }
     }
 
@@ -73,6 +77,15 @@
             .saturating_sub(self.waiting_milli.saturating_add(ahead_milli))
     }
 
+    /// Estimates how long the last of some tasks waits for its start, behind other tasks that need
+    /// `placed_milli` thousandths of a core on top of the waiting ones.
+    #[must_use]
+    pub fn wait_of(&self, need: &TasksNeed, placed_milli: u64) -> Duration {
+        let room = self.room.filter(|_| self.capacity_milli > 0);
+        let wait = room.and_then(|room| room.wait_of(need, placed_milli, self.mean_run));
+        wait.unwrap_or_else(|| self.wait_behind(placed_milli + need.total_milli))
+    }
+
     /// Estimates how long a task waits for its start, behind other tasks that need `ahead_milli`
     /// thousandths of a core on top of the waiting ones.
     #[must_use]
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -11,5 +11,6 @@
 pub mod queue;
 pub mod reply;
 pub mod resources;
+pub mod room;
 pub mod vm;
 pub mod worker;
--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -2,6 +2,16 @@
 
 use std::time::Duration;
 
+/// What the expected waits of jobs are derived from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ForecastMode {
+    /// The sum of the CPU of the workers.
+    #[default]
+    Sum,
+    /// A forecast from the room on each worker.
+    Room,
+}
+
 /// Timeouts and intervals of the dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -41,6 +51,8 @@
     pub claim_delay: Duration,
     /// Shorter delay, used once every other VM in the registry has sent a heartbeat.
     pub claim_delay_peers_known: Duration,
+    /// What the expected waits of jobs are derived from.
+    pub forecast: ForecastMode,
 }
 
 impl Default for Policy {
@@ -61,6 +73,7 @@
             stop_timeout: Duration::from_millis(5_500),
             claim_delay: Duration::from_millis(600),
             claim_delay_peers_known: Duration::from_millis(200),
+            forecast: ForecastMode::Sum,
         }
     }
 }
--- a/crates/core/src/guarded/systems/cell_assignment.rs
+++ b/crates/core/src/guarded/systems/cell_assignment.rs
@@ -36,6 +36,7 @@
         free_milli: 0,
         waiting_milli: waiting_milli(world),
         mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
+        room: world.room.summary(),
     };
     let stale_after = world.policy.worker_stale_after * 2;
     let rows = world.workers.values();
--- a/crates/core/src/guarded/systems/dispatch.rs
+++ b/crates/core/src/guarded/systems/dispatch.rs
@@ -1,6 +1,6 @@
 //! Scheduling: chooses the next task to start and the worker to start it on.
 
-use super::{containment, evacuations, leases, quarantine, suspect_reports};
+use super::{containment, evacuations, leases, quarantine, room, suspect_reports};
 use crate::guarded::action::{Action, Start};
 use crate::guarded::model::ids::{ClientJobId, RunId, TaskId, WorkerId};
 use crate::guarded::model::job::Step;
@@ -134,6 +134,7 @@
     }
     if !starts.is_empty() {
         log_starts(world, cx.now, id, waiting, &starts);
+        room::observe_start(world, cx.now, id);
     }
 }
 
@@ -268,16 +269,27 @@
 }
 
 fn predict_run_time(world: &World, now: Time, row: &Worker, step: &Step) -> Duration {
-    let base = world.estimator.predict(step.estimate, row.entry.kind());
     let preferred = step.preferred_rack.as_ref();
     let is_outside = preferred.is_some_and(|rack| !row.entry.has_label(rack));
     let rack_factor = if is_outside { REMOTE_RACK_FACTOR } else { 1.0 };
+    predict_worker_time(world, now, row, step.estimate, rack_factor)
+}
+
+/// Predicts the run time on a worker of a task with this estimate that takes longer by `factor`.
+pub fn predict_worker_time(
+    world: &World,
+    now: Time,
+    row: &Worker,
+    estimate: Duration,
+    factor: f64,
+) -> Duration {
+    let base = world.estimator.predict(estimate, row.entry.kind());
     let cold_factor = if row.is_cold(now) {
         world.estimator.cold_factor()
     } else {
         1.0
     };
-    base.mul_f64(row.health.slowdown(now) * rack_factor * cold_factor)
+    base.mul_f64(row.health.slowdown(now) * factor * cold_factor)
 }
 
 /// Factor on the run time of a task that runs outside the rack that holds its data.
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -21,6 +21,7 @@
 pub mod polls;
 pub mod progress;
 pub mod quarantine;
+pub mod room;
 pub mod run_list;
 pub mod runner;
 pub mod start_reports;
--- a/crates/core/src/guarded/systems/placement.rs
+++ b/crates/core/src/guarded/systems/placement.rs
@@ -154,10 +154,10 @@
 /// by a margin. Among runners that can start the job at once, jobs are spread in proportion to the
 /// capacity that they leave free: reported loads are up to some hundred milliseconds old.
 pub fn choose_runner(world: &World, now: Time, job: &Job) -> Choices {
-    let need = runner::initial_milli(job);
+    let need = runner::initial_need(job);
     let rate =
         |runner: Incarnation, load: &HolderLoad, placed: u64, is_local: bool, age: Duration| {
-            let wait = load.wait_behind(placed + need);
+            let wait = load.wait_of(&need, placed);
             let margin = if is_local {
                 Duration::ZERO
             } else {
@@ -165,7 +165,7 @@
             };
             let hash = mix(job.id.0 ^ mix(runner.vm.0));
             #[allow(clippy::cast_precision_loss, reason = "a weight")]
-            let spare = load.spare_milli(placed + need) as f64;
+            let spare = load.spare_milli(placed + need.total_milli) as f64;
             Choice {
                 runner,
                 wait,
--- a/crates/core/src/guarded/systems/runner.rs
+++ b/crates/core/src/guarded/systems/runner.rs
@@ -1,7 +1,7 @@
 //! Jobs that run on workers held by this VM: admission, outcomes and cancellation.
 
 use super::{
-    cell_assignment, containment, crashes, evacuations, quarantine, start_reports,
+    cell_assignment, containment, crashes, evacuations, quarantine, room, start_reports,
     starts_in_flight, stops, suspect_reports,
 };
 use crate::guarded::action::Action;
@@ -10,6 +10,7 @@
 use crate::guarded::model::ids::{ClientJobId, QueueId, WorkerId};
 use crate::guarded::model::job::Job;
 use crate::guarded::model::message::Message;
+use crate::guarded::model::room::TasksNeed;
 use crate::guarded::policy::MAX_LAG;
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
 use crate::guarded::tables::suspects::Suspect;
@@ -116,6 +117,10 @@
     }
     let queue = job.settings.queue;
     let is_contained = containment::is_contained(world, queue);
+    // The next sweep knows the place of the job among those that wait.
+    if room::is_on(world) && !is_contained {
+        return None;
+    }
     let wait = if is_contained {
         contained_wait(world, cx, queue, initial_milli(job))
     } else {
@@ -151,10 +156,20 @@
 
 /// Returns the CPU that the steps without dependencies need, in thousandths of a core.
 pub fn initial_milli(job: &Job) -> u64 {
+    initial_need(job).total_milli
+}
+
+/// Returns what the steps without dependencies need.
+pub fn initial_need(job: &Job) -> TasksNeed {
     let first = job.steps.iter().filter(|step| step.after.is_empty());
-    first
-        .map(|step| u64::from(step.count) * step.need.cpu_milli)
-        .sum()
+    let mut need = TasksNeed::default();
+    for step in first {
+        let count = u64::from(step.count);
+        need.tasks += count;
+        need.total_milli += count * step.need.cpu_milli;
+        need.largest_milli = need.largest_milli.max(step.need.cpu_milli);
+    }
+    need
 }
 
 /// Returns whether each task would fit on some worker if that worker were idle.
--- a/crates/core/src/guarded/systems/sweep.rs
+++ b/crates/core/src/guarded/systems/sweep.rs
@@ -1,12 +1,15 @@
 //! Periodic checks: jobs that can't end in time, runs that hang, and workers that left the
 //! registry.
 
-use super::{cell_assignment, containment, dispatch, evacuations, runner, starts_in_flight, stops};
+use super::{
+    cell_assignment, containment, dispatch, evacuations, room, runner, starts_in_flight, stops,
+};
 use crate::collections::FastMap;
 use crate::guarded::model::answer::{Answer, LossCause, RefusalCause};
 use crate::guarded::model::cell::HolderLoad;
 use crate::guarded::model::ids::{ClientJobId, QueueId, RunId, WorkerId};
 use crate::guarded::policy::PEER_CHECK_INTERVAL;
+use crate::guarded::tables::room::Outlook;
 use crate::guarded::tables::runner_job::{RunnerJob, TaskState};
 use crate::guarded::tables::worker::{Run, RunState};
 use crate::guarded::world::{Cx, World};
@@ -58,6 +61,7 @@
 /// scheduling order, and each one that stays adds to the wait of those behind it.
 fn refuse_late_jobs(world: &mut World, cx: &mut Cx<'_>) {
     let load = cell_assignment::own_load(world, cx.now);
+    room::update(world, cx.now);
     let mut ahead_milli = 0;
     let mut contained: FastMap<QueueId, ContainedLoad> = FastMap::default();
     for (_, id) in dispatch::jobs_by_rank(world, cx.now) {
@@ -73,15 +77,26 @@
             });
             let wait = row.load.wait_behind(row.ahead_milli);
             let wait = wait.min(runner::MAX_CONTAINED_WAIT);
-            match decide_outcome(world, cx, job, wait) {
+            let outlook = Outlook {
+                wait,
+                end: wait + job.work_left(&world.estimator),
+            };
+            match decide_outcome(world, cx, job, outlook) {
                 Some(answer) => runner::end_job(world, cx, id, answer),
                 None => row.ahead_milli += due_milli,
             }
             continue;
         }
         let wait = runner::wait_behind(load, ahead_milli);
-        match decide_outcome(world, cx, job, wait) {
-            Some(answer) => runner::end_job(world, cx, id, answer),
+        let outlook = room::outlook(world, cx.now, job).unwrap_or_else(|| Outlook {
+            wait,
+            end: wait + job.work_left(&world.estimator),
+        });
+        match decide_outcome(world, cx, job, outlook) {
+            Some(answer) => {
+                room::log_refusal(world, job);
+                runner::end_job(world, cx, id, answer);
+            }
             None => ahead_milli += due_milli,
         }
     }
@@ -99,16 +114,16 @@
     }
 }
 
-/// Returns the outcome of a job with waiting tasks that must be refused or dropped, where `wait`
-/// is its expected wait. `None` keeps the job.
-fn decide_outcome(world: &World, cx: &Cx<'_>, job: &RunnerJob, wait: Duration) -> Option<Answer> {
+/// Returns the outcome of a job with waiting tasks that must be refused or dropped. `None` keeps the
+/// job.
+fn decide_outcome(world: &World, cx: &Cx<'_>, job: &RunnerJob, outlook: Outlook) -> Option<Answer> {
+    let Outlook { wait, end } = outlook;
     if let Some(answer) = evacuations::check_waiting_job(world, cx.now, job) {
         return Some(answer);
     }
     if job.started {
         let is_contained = containment::is_contained(world, job.job.settings.queue);
-        let left = job.work_left(&world.estimator);
-        if is_contained && cx.now + wait + left > job.deadline {
+        if is_contained && cx.now + end > job.deadline {
             return Some(Answer::Lost(LossCause::Suspected));
         }
         let has_no_workers =
@@ -127,8 +142,7 @@
     if !job.is_offered {
         return None;
     }
-    let left = job.work_left(&world.estimator);
-    let too_late = cx.now + wait + left > job.deadline;
+    let too_late = cx.now + end > job.deadline;
     too_late.then_some(Answer::Refused {
         cause: runner::refusal_cause(containment::is_contained(world, job.job.settings.queue)),
         retry_after: wait.max(runner::MIN_RETRY_DELAY),
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -8,6 +8,7 @@
 pub mod read_horizon;
 pub mod recent;
 pub mod remote_holder;
+pub mod room;
 pub mod runner_job;
 pub mod stamps;
 pub mod starts_in_flight;
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -61,6 +61,8 @@
     pub started: bool,
     /// Whether the dispatch had a chance to start it.
     pub is_offered: bool,
+    /// Time of the first forecast and the wait that it gave, until all due tasks have started.
+    pub first_forecast: Option<(Time, Duration)>,
 }
 
 impl RunnerJob {
@@ -96,6 +98,7 @@
             overdue_at: submitted_at + job.client_timeout + CLIENT_TIMEOUT_SLACK,
             started: false,
             is_offered: false,
+            first_forecast: None,
             job,
         }
     }
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -18,6 +18,7 @@
 use super::tables::read_horizon::ReadHorizon;
 use super::tables::recent::RecentOutcomes;
 use super::tables::remote_holder::RemoteHolderRow;
+use super::tables::room::Room;
 use super::tables::runner_job::RunnerJob;
 use super::tables::starts_in_flight::StartsInFlight;
 use super::tables::suspects::Suspects;
@@ -147,6 +148,8 @@
     /// Workers that were lost a moment ago, which `systems::crashes` judges.
     pub losses: Vec<WorkerLoss>,
     pub estimator: Estimator,
+    /// Forecast for the jobs that wait here.
+    pub room: Room,
     pub mean_run_ms: f64,
     next_poll_number: u64,
     /// Ended runs, which `systems::progress` applies to their jobs.
@@ -216,6 +219,7 @@
             suspect_reports: Vec::new(),
             losses: Vec::new(),
             estimator: Estimator::default(),
+            room: Room::default(),
             mean_run_ms: DEFAULT_MEAN_RUN_MS,
             next_poll_number: 0,
             finished_runs: Vec::new(),
--- a/crates/core/tests/guarded/sim/clients.rs
+++ b/crates/core/tests/guarded/sim/clients.rs
@@ -259,6 +259,12 @@
             .collect()
     }
 
+    /// Takes the observed waits of a running VM.
+    pub fn take_observations(&mut self, vm: usize) -> Vec<WaitObservation> {
+        let dispatcher = self.vms[vm].dispatcher.as_mut();
+        dispatcher.map_or_else(Vec::new, Dispatcher::take_wait_observations)
+    }
+
     /// Returns the statistics of a VM; zeros if it is down.
     pub fn stats_of(&self, vm: usize) -> Stats {
         let dispatcher = self.vms[vm].dispatcher.as_ref();
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -28,13 +28,14 @@
 use cardamomslip_core::guarded::model::resources::Resources;
 use cardamomslip_core::guarded::model::vm::VmEntry;
 use cardamomslip_core::guarded::model::worker::WorkerEntry;
-use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy, Stats};
+use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy, Stats, WaitObservation};
 use cardamomslip_core::model::ids::{CallId, DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::time::Time;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -215,6 +216,9 @@
     /// VM to which clients submit their jobs again; drawn if `None`.
     pub resend_vm: Option<usize>,
     shape: Shape,
+    policy: Policy,
+    /// Factors within which the actual run time of a task differs from its estimate.
+    pub run_time_error: RangeInclusive<f64>,
     seq: u64,
     queue: BTreeMap<(u64, u64), SimEvent>,
     vms: Vec<Vm>,
@@ -261,6 +265,10 @@
 
 impl Sim {
     pub fn new(shape: Shape, seed: u64) -> Self {
+        Self::with_policy(shape, seed, Policy::default())
+    }
+
+    pub fn with_policy(shape: Shape, seed: u64, policy: Policy) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let capacity = Resources {
             cpu_milli: WORKER_CPU_MILLI,
@@ -283,6 +291,8 @@
             read_lag: 0,
             resend_vm: None,
             shape,
+            policy,
+            run_time_error: 1.0..=1.0,
             seq: 0,
             queue: BTreeMap::new(),
             vms: Vec::new(),
--- a/crates/core/tests/guarded/sim/stalls.rs
+++ b/crates/core/tests/guarded/sim/stalls.rs
@@ -1,7 +1,6 @@
 //! Stalls of VMs, alone and in series, and how a VM takes up what arrived during one.
 
 use super::*;
-use std::ops::RangeInclusive;
 
 /// Bounds of a time that is drawn, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -17,7 +17,7 @@
         row.follows_workers = false;
         let weight = self.weight(vm);
         let row = &mut self.vms[vm];
-        row.dispatcher = Some(Dispatcher::new(Identity { me, weight }, Policy::default()));
+        row.dispatcher = Some(Dispatcher::new(Identity { me, weight }, self.policy));
         row.next_tick_at = self.now;
         let boot = row.boot;
         self.push(self.now, SimEvent::Tick(vm, boot));
--- a/crates/core/tests/guarded/sim/workers.rs
+++ b/crates/core/tests/guarded/sim/workers.rs
@@ -17,7 +17,7 @@
             upstream: UpstreamId(1),
             data_centre: DataCentreId((worker % self.shape.data_centres) as u64),
             capacity: row.capacity,
-            labels: vec!["a".into()],
+            labels: vec![row.kind.into()],
             draining: row.draining_since.is_some(),
             cold_left: Duration::from_millis(row.cold_left_ms),
             boot: Some(row.boot),
@@ -287,6 +287,7 @@
             Action::Start(start) => {
                 let before: BTreeSet<TaskId> = self.workers[worker].tasks().collect();
                 let (need, work) = self.requirements(start.run.task);
+                let work = self.actual_work(worker, work);
                 let (token, end) = (start.token, start.lease_end_ms);
                 let row = &mut self.workers[worker];
                 let reply = row.start(self.now, start.run, token, end, need, work);
@@ -426,6 +427,19 @@
         }
     }
 
+    /// Returns the actual run time of a task with this estimate on a worker.
+    fn actual_work(&mut self, worker: usize, estimate: u64) -> u64 {
+        let slowness = self.workers[worker].slowness;
+        let range = self.run_time_error.clone();
+        // Drawn only if it matters, so that seeds without it give the same course.
+        let error = if range.start() < range.end() {
+            self.rng.random_range(range)
+        } else {
+            *range.start()
+        };
+        (estimate as f64 * slowness * error) as u64
+    }
+
     pub(super) fn requirements(&self, task: TaskId) -> (Resources, u64) {
         let job = &self.history.jobs[&task.job].job;
         let step = &job.steps[task.step as usize];
--- a/crates/core/tests/guarded/worker.rs
+++ b/crates/core/tests/guarded/worker.rs
@@ -33,6 +33,10 @@
 pub struct ModelWorker {
     pub capacity: Resources,
     pub behaviour: Behaviour,
+    /// Kind of hardware, its first label.
+    pub kind: &'static str,
+    /// Factor by which runs take longer than their estimates.
+    pub slowness: f64,
     pub up: bool,
     pub draining_since: Option<u64>,
     pub boot: u64,
@@ -72,6 +76,8 @@
         Self {
             capacity,
             behaviour: Behaviour::Normal,
+            kind: "a",
+            slowness: 1.0,
             up: true,
             draining_since: None,
             boot: now + 1,
@@ -101,12 +107,15 @@
     pub fn reboot(&mut self, now: u64) {
         let started = self.started;
         let behaviour = self.behaviour;
+        let (kind, slowness) = (self.kind, self.slowness);
         let guards_capacity = self.guards_capacity;
         let refuses_stops = self.refuses_stops;
         let clock_start_ms = self.clock_start_ms;
         let former_capacity = self.former_capacity;
         *self = Self {
             behaviour,
+            kind,
+            slowness,
             started,
             guards_capacity,
             refuses_stops,
--- a/src/guarded/input.rs
+++ b/src/guarded/input.rs
@@ -18,6 +18,10 @@
 
 /// An input to the actor.
 #[derive(Debug)]
+#[allow(
+    clippy::large_enum_variant,
+    reason = "most inputs are events, and boxing them costs an allocation each"
+)]
 pub enum Input<A> {
     /// An event for the dispatcher.
     Event(Event),
--- a/src/guarded/wire/heartbeat.rs
+++ b/src/guarded/wire/heartbeat.rs
@@ -7,6 +7,7 @@
 use cardamomslip_core::guarded::model::cell::{Cell, HolderLoad};
 use cardamomslip_core::guarded::model::ids::WorkerId;
 use cardamomslip_core::guarded::model::message::{Heartbeat, RemoteHolder};
+use cardamomslip_core::guarded::model::room::{RoomSummary, SIZE_COUNT, SizeRoom};
 use cardamomslip_core::model::ids::DataCentreId;
 use cardamomslip_core::model::time::Time;
 use serde::{Deserialize, Serialize};
@@ -42,9 +43,17 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct CellWire(u64, u16, u16);
 
-/// `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`.
+/// `capacity_milli`, `free_milli`, `waiting_milli`, `mean_run`, `room`.
 #[derive(Debug, Serialize, Deserialize)]
-struct HolderLoadWire(u64, u64, u64, u64);
+struct HolderLoadWire(u64, u64, u64, u64, Option<RoomWire>);
+
+/// `sizes`.
+#[derive(Debug, Serialize, Deserialize)]
+struct RoomWire([SizeRoomWire; SIZE_COUNT]);
+
+/// `fits`, `slots`, `wait_ms`.
+#[derive(Debug, Serialize, Deserialize)]
+struct SizeRoomWire(u16, u16, u16);
 
 impl From<&Heartbeat> for HeartbeatWire {
     fn from(heartbeat: &Heartbeat) -> Self {
@@ -162,17 +171,39 @@
             load.free_milli,
             load.waiting_milli,
             micros(load.mean_run),
+            load.room.map(Into::into),
         )
     }
 }
 
+impl From<RoomSummary> for RoomWire {
+    fn from(room: RoomSummary) -> Self {
+        let row = |row: SizeRoom| SizeRoomWire(row.fits, row.slots, row.wait_ms);
+        Self(room.sizes.map(row))
+    }
+}
+
+impl From<RoomWire> for RoomSummary {
+    fn from(RoomWire(sizes): RoomWire) -> Self {
+        let row = |SizeRoomWire(fits, slots, wait_ms)| SizeRoom {
+            fits,
+            slots,
+            wait_ms,
+        };
+        Self {
+            sizes: sizes.map(row),
+        }
+    }
+}
+
 impl From<HolderLoadWire> for HolderLoad {
-    fn from(HolderLoadWire(capacity, free, waiting, mean_run): HolderLoadWire) -> Self {
+    fn from(HolderLoadWire(capacity, free, waiting, mean_run, room): HolderLoadWire) -> Self {
         let load = Self {
             capacity_milli: capacity,
             free_milli: free,
             waiting_milli: waiting,
             mean_run: Duration::from_micros(mean_run),
+            room: room.map(Into::into),
         };
         load.bounded()
     }
--- a/tests/guarded_frames.rs
+++ b/tests/guarded_frames.rs
@@ -15,6 +15,7 @@
 };
 use cardamomslip_core::guarded::model::queue::{Queue, QueueTable};
 use cardamomslip_core::guarded::model::resources::Resources;
+use cardamomslip_core::guarded::model::room::RoomSummary;
 use cardamomslip_core::model::ids::{DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::time::Time;
@@ -64,6 +65,7 @@
             free_milli: 2_400,
             waiting_milli: 6_800,
             mean_run: Duration::from_micros(200_001),
+            room: None,
         },
         still_held: vec![WorkerId(9)],
         next_within: Duration::from_millis(360),
@@ -80,12 +82,47 @@
                 free_milli: 1,
                 waiting_milli: 2,
                 mean_run: Duration::from_micros(99),
+                room: None,
             },
             age: Duration::from_micros(7),
         }],
     })
 }
 
+/// Returns the load of 130 workers.
+fn load(room: Option<RoomSummary>) -> HolderLoad {
+    HolderLoad {
+        capacity_milli: 9_600_000,
+        free_milli: 2_400_000,
+        waiting_milli: 6_800_000,
+        mean_run: Duration::from_micros(200_001),
+        room,
+    }
+}
+
+fn room() -> RoomSummary {
+    let mut room = RoomSummary::default();
+    for (i, row) in room.sizes.iter_mut().enumerate() {
+        row.fits = 500 >> i;
+        row.slots = 4_800 >> i;
+        row.wait_ms = 10_000;
+    }
+    room
+}
+
+fn heartbeat_with_load(load: HolderLoad) -> Message {
+    let Message::Heartbeat(heartbeat) = heartbeat(4, 3) else {
+        unreachable!("the message is a heartbeat");
+    };
+    let remote = heartbeat.remote_holders.iter();
+    let remote = remote.map(|&remote| RemoteHolder { load, ..remote });
+    Message::Heartbeat(Heartbeat {
+        remote_holders: remote.collect(),
+        load,
+        ..heartbeat
+    })
+}
+
 fn place(after: Vec<u32>) -> Message {
     let step = Step {
         count: 8,
@@ -192,6 +229,7 @@
 
 #[rstest]
 #[case::heartbeat(heartbeat(4, 3))]
+#[case::heartbeat_with_room(heartbeat_with_load(load(Some(room()))))]
 #[case::place(place(vec![0]))]
 #[case::completed(finished(Answer::Completed))]
 #[case::failed(finished(Answer::Failed))]
@@ -245,3 +283,12 @@
     let len = Message::Heartbeat(many).encode().len();
     assert!(len <= 110 + 9 * (16 + 56 + 9), "{len} bytes");
 }
+
+/// A summary of the room adds a few dozen bytes for a holder: heartbeats cross data centres.
+#[test]
+fn a_summary_of_the_room_is_small() {
+    let len = |room| heartbeat_with_load(load(room)).encode().len();
+    let (with, without) = (len(Some(room())), len(None));
+    // The heartbeat reports two holders.
+    assert!(with <= without + 2 * 48, "{with} and {without} bytes");
+}
