--- a/crates/core/src/guarded/dispatcher.rs
+++ b/crates/core/src/guarded/dispatcher.rs
@@ -11,6 +11,7 @@
 use super::stats::{QueueShare, Stats};
 use super::systems;
 use super::tables::read_horizon::READ_DELAY;
+use super::tables::room::WaitObservation;
 use super::tables::worker::Hold;
 use super::world::{Cx, Phase, Timer, World};
 use crate::model::incarnation::Incarnation;
@@ -178,6 +179,12 @@
         systems::shares::queue_shares(&self.world, now)
     }
 
+    /// Takes the observed waits of jobs since the last call, which are bounded in number.
+    #[must_use]
+    pub fn take_wait_observations(&mut self) -> Vec<WaitObservation> {
+        self.world.room.take_observations()
+    }
+
     /// Returns the counters and current gauges.
     #[must_use]
     pub fn stats(&self) -> Stats {
--- a/crates/core/src/guarded/model/mod.rs
+++ b/crates/core/src/guarded/model/mod.rs
@@ -13,5 +13,6 @@
 pub mod queue_use;
 pub mod reply;
 pub mod resources;
+pub mod room;
 pub mod vm;
 pub mod worker;
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -23,6 +23,7 @@
 pub mod progress;
 pub mod quarantine;
 pub mod registrations;
+pub mod room;
 pub mod run_list;
 pub mod runner;
 pub mod shares;
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -65,6 +65,8 @@
     pub was_held_back: bool,
     /// Whether the dispatch had a chance to start it.
     pub is_offered: bool,
+    /// Time of the first forecast and the wait that it gave, until all due tasks have started.
+    pub first_forecast: Option<(Time, Duration)>,
 }
 
 impl RunnerJob {
@@ -102,6 +104,7 @@
             was_put_first: false,
             was_held_back: false,
             is_offered: false,
+            first_forecast: None,
             job,
         }
     }
--- a/crates/core/tests/guarded/sim/mod.rs
+++ b/crates/core/tests/guarded/sim/mod.rs
@@ -30,7 +30,7 @@
 use cardamomslip_core::guarded::model::vm::VmEntry;
 use cardamomslip_core::guarded::model::worker::WorkerEntry;
 use cardamomslip_core::guarded::shares::ShareSettings;
-use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy, Stats};
+use cardamomslip_core::guarded::{Dispatcher, Event, Identity, Policy, Stats, WaitObservation};
 use cardamomslip_core::model::ids::{CallId, DataCentreId, VmId};
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::time::Time;
@@ -38,6 +38,7 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -222,6 +223,9 @@
     /// Shares of the queues, for dispatchers that start.
     pub shares: Option<ShareSettings>,
     shape: Shape,
+    policy: Policy,
+    /// Factors within which the actual run time of a task differs from its estimate.
+    pub run_time_error: RangeInclusive<f64>,
     seq: u64,
     queue: BTreeMap<(u64, u64), SimEvent>,
     vms: Vec<Vm>,
@@ -275,11 +279,25 @@
 
 impl Sim {
     pub fn new(shape: Shape, seed: u64) -> Self {
-        Self::with_shares(shape, seed, None)
+        Self::with_settings(shape, seed, Policy::default(), None)
     }
 
     /// Creates a deployment that shares room among queues.
     pub fn with_shares(shape: Shape, seed: u64, shares: Option<ShareSettings>) -> Self {
+        Self::with_settings(shape, seed, Policy::default(), shares)
+    }
+
+    pub fn with_policy(shape: Shape, seed: u64, policy: Policy) -> Self {
+        Self::with_settings(shape, seed, policy, None)
+    }
+
+    /// Creates a deployment whose dispatchers have these settings.
+    pub fn with_settings(
+        shape: Shape,
+        seed: u64,
+        policy: Policy,
+        shares: Option<ShareSettings>,
+    ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let capacity = Resources {
             cpu_milli: WORKER_CPU_MILLI,
@@ -303,6 +321,8 @@
             resend_vm: None,
             shares,
             shape,
+            policy,
+            run_time_error: 1.0..=1.0,
             seq: 0,
             queue: BTreeMap::new(),
             vms: Vec::new(),
--- a/crates/core/tests/guarded/sim/vms.rs
+++ b/crates/core/tests/guarded/sim/vms.rs
@@ -17,7 +17,7 @@
         row.follows_workers = false;
         let weight = self.weight(vm);
         let row = &mut self.vms[vm];
-        let dispatcher = Dispatcher::new(Identity { me, weight }, Policy::default());
+        let dispatcher = Dispatcher::new(Identity { me, weight }, self.policy);
         row.dispatcher = Some(match &self.shares {
             Some(shares) => dispatcher.with_shares(shares.clone()),
             None => dispatcher,
--- a/src/guarded/actor.rs
+++ b/src/guarded/actor.rs
@@ -139,10 +139,23 @@
             self.metrics.record_stats(&self.dispatcher.stats());
             self.metrics
                 .record_queue_shares(&self.dispatcher.queue_shares());
+            self.record_waits();
         }
         self.schedule_tick(cx);
     }
 
+    fn record_waits(&mut self) {
+        let observations = self.dispatcher.take_wait_observations();
+        let Some(queues) = self.dispatcher.queues() else {
+            return;
+        };
+        for observation in observations {
+            if let Some(name) = queues.name(observation.queue) {
+                self.metrics.record_wait(&name, &observation);
+            }
+        }
+    }
+
     fn schedule_tick(&mut self, cx: CX![]) {
         let now = self.clock.time_at(cx.now());
         let next = self.dispatcher.next_tick();
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -2,9 +2,11 @@
 
 use crate::http::{IngressStats, OpenedConnections};
 use cardamomslip_core::guarded::model::answer::Answer;
-use cardamomslip_core::guarded::{QueueShare, Stats};
+use cardamomslip_core::guarded::{QueueShare, Stats, WaitObservation};
 use metrics::{counter, gauge, histogram, with_local_recorder};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+use metrics_exporter_prometheus::{
+    Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -16,6 +18,11 @@
 /// change daily.
 const MAX_QUEUE_LABELS: usize = 128;
 
+/// Name of the histogram of forecast minus actual wait.
+const FORECAST_ERROR: &str = "cardamomslip_forecast_error_seconds";
+/// Upper bounds of its buckets, in seconds. Below zero, jobs waited longer than forecast.
+const FORECAST_ERROR_BUCKETS: [f64; 9] = [-1.0, -0.5, -0.2, -0.05, 0.0, 0.05, 0.2, 0.5, 1.0];
+
 /// Metrics of one dispatcher. Clones share the recorder.
 #[derive(Clone)]
 pub struct DispatcherMetrics {
@@ -34,8 +41,12 @@
 impl Default for DispatcherMetrics {
     fn default() -> Self {
         let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
+        let builder = builder.and_then(|builder| {
+            let name = Matcher::Full(FORECAST_ERROR.to_owned());
+            builder.set_buckets_for_metric(name, &FORECAST_ERROR_BUCKETS)
+        });
         let recorder = builder
-            .expect("LATENCY_BUCKETS is not empty")
+            .expect("the lists of buckets are not empty")
             .build_recorder();
         let handle = recorder.handle();
         Self {
@@ -147,6 +158,19 @@
         });
     }
 
+    /// Records how much longer or shorter than forecast a job of a queue waited.
+    pub fn record_wait(&self, queue: &Arc<str>, observation: &WaitObservation) {
+        let mut known = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        if !known.contains(queue) && known.len() >= MAX_QUEUE_LABELS {
+            return;
+        }
+        known.insert(Arc::clone(queue));
+        let error = observation.forecast.as_secs_f64() - observation.actual.as_secs_f64();
+        with_local_recorder(&*self.recorder, || {
+            histogram!(FORECAST_ERROR, "queue" => queue.to_string()).record(error);
+        });
+    }
+
     /// Sets the number of connections opened to servers of a kind.
     pub fn record_opened(&self, server: &'static str, opened: &OpenedConnections) {
         let reasons = [
