--- a/crates/core/src/guarded/systems/cancels.rs
+++ b/crates/core/src/guarded/systems/cancels.rs
@@ -245,6 +245,9 @@
 
 /// Ends a job if this VM is its entry or its runner, and marks it.
 fn cancel(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) -> Local {
+    if let Some(runner) = unconfirmed_runner(world, id) {
+        return Local::AtRunner(runner);
+    }
     let local = end(world, cx, id);
     if local != Local::Unknown || !has_ended(world, id) {
         let is_found = local != Local::Unknown;
@@ -257,6 +260,14 @@
     local
 }
 
+/// Returns the runner that was asked to end a job and has not confirmed that.
+fn unconfirmed_runner(world: &mut World, id: ClientJobId) -> Option<Incarnation> {
+    let rows = world.cancellations.of_job_mut(id);
+    let mut waiting = rows.iter().filter(|row| row.stage == Stage::Runner);
+    let (runner, _) = waiting.find_map(|row| row.waiting.first().copied())?;
+    Some(runner)
+}
+
 /// Ends a job if this VM is its entry or its runner: answers its clients and stops its runs.
 fn end(world: &mut World, cx: &mut Cx<'_>, id: ClientJobId) -> Local {
     let entry = world.entries.get(&id).map(|row| row.runner);
@@ -286,6 +297,7 @@
     asker: Asker,
     peer: Incarnation,
 ) {
+    remove_repeated(world, job, &asker);
     ask(world, job, peer, CancelScope::Receiver);
     let mut row = Cancellation::new(cx.now, asker, Stage::Runner);
     row.waiting.insert((peer, CancelScope::Receiver));
@@ -303,6 +315,15 @@
     settle(world, cx, job);
 }
 
+/// Removes the row of an earlier request, which a repeated one replaces.
+fn remove_repeated(world: &mut World, job: ClientJobId, asker: &Asker) {
+    for row in world.cancellations.take(job) {
+        if row.asker != *asker {
+            world.cancellations.insert(job, row);
+        }
+    }
+}
+
 /// Asks the VMs that a peer's request covers.
 fn ask_for_peer(
     world: &mut World,
@@ -312,12 +333,7 @@
     scope: CancelScope,
 ) {
     let asker = Asker::Peer(from, scope);
-    for row in world.cancellations.take(job) {
-        // A repeated request replaces the earlier one.
-        if row.asker != asker {
-            world.cancellations.insert(job, row);
-        }
-    }
+    remove_repeated(world, job, &asker);
     let targets = targets(world, cx.now, Some(from), scope);
     let mut row = Cancellation::new(cx.now, asker, Stage::All);
     row.waiting = targets.peers;
--- a/crates/core/src/guarded/systems/cell_assignment.rs
+++ b/crates/core/src/guarded/systems/cell_assignment.rs
@@ -41,7 +41,10 @@
     let stale_after = world.policy.worker_stale_after * 2;
     let rows = world.workers.values();
     for row in rows.filter(|row| is_claimed(world, &row.entry)) {
-        if row.exclusive_to.is_some() || evacuations::is_evacuated(world, row.entry.data_centre) {
+        if row.exclusive_to.is_some()
+            || evacuations::is_evacuated(world, row.entry.data_centre)
+            || world.drains.contains(row.entry.id, row.boot)
+        {
             continue;
         }
         if row.is_usable(now, stale_after) {
--- a/crates/core/src/guarded/systems/containment.rs
+++ b/crates/core/src/guarded/systems/containment.rs
@@ -128,7 +128,9 @@
     let stale_after = world.policy.worker_stale_after * 2;
     let usable = world.workers.values();
     let usable = usable.filter(|row| {
-        row.is_usable(now, stale_after) && !is_evacuated(world, row.entry.data_centre)
+        row.is_usable(now, stale_after)
+            && !world.drains.contains(row.entry.id, row.boot)
+            && !is_evacuated(world, row.entry.data_centre)
     });
     let mut load = HolderLoad {
         mean_run: Duration::from_secs_f64(world.mean_run_ms / 1e3),
--- a/crates/core/src/guarded/systems/quarantine.rs
+++ b/crates/core/src/guarded/systems/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which workers a suspect may start on: one that it has for itself, or shares with the tasks of its
 //! queue if that is contained.
 
-use super::{containment, runner};
+use super::{containment, evacuations, runner};
 use crate::guarded::model::answer::{Answer, LossCause};
 use crate::guarded::model::ids::{TaskId, WorkerId};
 use crate::guarded::tables::runner_job::RunnerJob;
@@ -148,6 +148,8 @@
     let rows = world.workers.values().filter(|row| {
         row.entry.upstream == job.job.settings.upstream
             && row.is_usable(now, world.policy.worker_stale_after)
+            && !world.drains.contains(row.entry.id, row.boot)
+            && evacuations::admits(world, now, &row.entry, job)
             && row.reserved_for.is_none()
             && row
                 .exclusive_to
--- a/crates/core/src/guarded/systems/registrations.rs
+++ b/crates/core/src/guarded/systems/registrations.rs
@@ -31,8 +31,10 @@
     }
     drain_reports::note(world, now, &entry);
     world.registry.insert(now, entry.clone());
+    let registered = world.registry.get(id);
+    let cold_until = registered.map_or(now, |row| row.cold_until);
     if let Some(row) = world.workers.get_mut(&id) {
-        update(row, now, entry);
+        update(row, cold_until, entry);
     } else if cell_assignment::is_claimed(world, &entry) {
         holds::add_row(world, id);
     }
@@ -64,7 +66,7 @@
     })
 }
 
-fn update(row: &mut Worker, now: Time, entry: WorkerEntry) {
+fn update(row: &mut Worker, cold_until: Time, entry: WorkerEntry) {
     row.missing_since = None;
     if entry.address != row.entry.address {
         tracing::info!(
@@ -81,7 +83,7 @@
     if row.entry.draining != entry.draining {
         tracing::info!(worker = %entry.id, draining = entry.draining, "worker changed");
     }
-    row.cold_until = now + entry.cold_left;
+    row.cold_until = cold_until;
     row.entry = entry;
 }
 
--- a/crates/core/src/guarded/systems/room.rs
+++ b/crates/core/src/guarded/systems/room.rs
@@ -52,7 +52,8 @@
     let mut workers = Vec::new();
     let mut releases = Vec::new();
     for row in world.workers.values() {
-        let is_usable = row.is_usable(now, stale_after);
+        let is_usable =
+            row.is_usable(now, stale_after) && !world.drains.contains(row.entry.id, row.boot);
         if !is_usable && !row.is_usable_soon(now) || !is_shared(world, row) {
             continue;
         }
--- a/crates/core/src/guarded/systems/shares.rs
+++ b/crates/core/src/guarded/systems/shares.rs
@@ -119,7 +119,7 @@
     account.is_some_and(|account| account.sizes.is_behind(size(job)))
 }
 
-/// Returns the CPU time of a job: the run times of its tasks in microseconds.
+/// Returns the size of a job: the sum of the declared run times of its tasks in microseconds.
 fn size(job: &Job) -> u64 {
     let sizes = job.steps.iter().map(|step| {
         let micros = u64::try_from(step.estimate.as_micros()).unwrap_or(u64::MAX);
@@ -263,7 +263,9 @@
 fn divide_room(world: &World, now: Time, settings: &ShareSettings) -> Division {
     let mut totals = own_totals(world);
     let held: f64 = totals.values().map(|total| total.held_milli).sum();
-    let in_use: u64 = world.accounts.iter().map(|(_, row)| row.in_use_milli).sum();
+    let accounts = world.accounts.iter();
+    let accounts = accounts.filter(|(queue, _)| !containment::is_contained(world, *queue));
+    let in_use: u64 = accounts.map(|(_, row)| row.in_use_milli).sum();
     // While tasks find no room, what is in use is all that the queues can use.
     let own_milli = held.max(to_float(in_use));
     let reported = add_reported(world, now, &mut totals);
--- a/crates/core/src/guarded/systems/starts_in_flight.rs
+++ b/crates/core/src/guarded/systems/starts_in_flight.rs
@@ -192,11 +192,14 @@
     worker: WorkerId,
     running: &[RunInProgress],
 ) {
-    let Some(token) = world.workers.get(&worker).map(|row| row.token) else {
+    let Some(row) = world.workers.get(&worker) else {
         return;
     };
+    let (token, since) = (row.token, row.address_since);
     rule_out_where(world, now, worker, "fenced", |task, row| {
-        row.token < token && !running.iter().any(|running| running.run.task == task)
+        // What was sent to an earlier address may be carried out there.
+        let is_here = row.sent_at >= since;
+        is_here && row.token < token && !running.iter().any(|running| running.run.task == task)
     });
 }
 
--- a/crates/core/src/guarded/tables/drains.rs
+++ b/crates/core/src/guarded/tables/drains.rs
@@ -6,8 +6,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Retention time of a row. A worker leaves some seconds after it began to drain.
-const RETENTION: Duration = Duration::from_secs(15);
+/// Retention time of a row. A worker leaves some seconds after it began to drain, at times many.
+const RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of rows. Beyond it the oldest one is removed.
 const MAX_ROWS: usize = 1_024;
 
@@ -33,6 +33,10 @@
     /// Adds a boot. Returns whether it is new.
     pub fn insert(&mut self, now: Time, worker: WorkerId, boot: u64) -> bool {
         self.evict(now);
+        if self.boots.get(&worker).is_some_and(|&known| known > boot) {
+            // A late report of an earlier boot.
+            return false;
+        }
         if self.boots.insert(worker, boot) == Some(boot) {
             return false;
         }
--- a/crates/core/src/guarded/tables/evacuation.rs
+++ b/crates/core/src/guarded/tables/evacuation.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after a request in which a job that has begun may still start its remaining tasks in the
-/// data centre. Most jobs end within it, and a VM of which the store's watch lagged stays within the
+/// Time after this VM learned of a request in which a job that has begun may still start its remaining
+/// tasks in the data centre. Most jobs end within it, and a VM of which the store's watch lagged stays within the
 /// seconds that an evacuation may take.
 const STARTED_JOB_GRACE: Duration = Duration::from_secs(1);
 
--- a/crates/core/src/guarded/tables/runner_job.rs
+++ b/crates/core/src/guarded/tables/runner_job.rs
@@ -63,7 +63,7 @@
     pub was_put_first: bool,
     /// Whether shares ever held it back behind a job of another queue.
     pub was_held_back: bool,
-    /// Whether the dispatch had a chance to start it.
+    /// Whether a dispatch has considered it.
     pub is_offered: bool,
     /// Time of the first forecast and the wait that it gave, until all due tasks have started.
     pub first_forecast: Option<(Time, Duration)>,
--- a/crates/core/src/guarded/tables/worker_registry.rs
+++ b/crates/core/src/guarded/tables/worker_registry.rs
@@ -73,8 +73,15 @@
         self.missing.remove(&entry.id);
         self.aside.remove(&entry.id);
         let (id, data_centre) = (entry.id, entry.data_centre);
+        // A list repeats entries that were written some time ago.
+        let known = self
+            .rows
+            .get(&id)
+            .filter(|row| row.entry.boot == entry.boot);
+        let cold_until = now + entry.cold_left;
+        let cold_until = known.map_or(cold_until, |row| row.cold_until.min(cold_until));
         let row = RegisteredWorker {
-            cold_until: now + entry.cold_left,
+            cold_until,
             entry,
             missing_since: None,
         };
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -146,7 +146,8 @@
         let mut known = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
         let cores = |milli: u64| milli as f64 / 1e3;
         with_local_recorder(&*self.recorder, || {
-            for name in known.iter() {
+            let reported: BTreeSet<_> = rows.iter().map(|row| &row.name).collect();
+            for name in known.iter().filter(|name| !reported.contains(name)) {
                 set_queue_share(name, 0.0, 0.0);
             }
             for row in rows {
--- a/src/http/ingress_table.rs
+++ b/src/http/ingress_table.rs
@@ -278,7 +278,9 @@
 
     /// Charges the buffers of a large request to a connection if there is room.
     pub fn charge_buffers(&mut self, now: Instant, key: usize) -> Decision {
-        if self.row(key).is_large {
+        let row = self.row(key);
+        // A complete request is only read from to notice that its client has left: one read at most.
+        if row.is_large || matches!(row.stage, Stage::Busy | Stage::Reply) {
             return Decision::Admit;
         }
         let bytes = self.limits.large_connection_bytes() - CONNECTION_BYTES;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -191,7 +191,7 @@
                 result = connection => if let Err(e) = result {
                     tracing::debug!(error = %e, "connection of a client failed");
                 },
-                _ = closed => tracing::debug!("connection of a client closed in favour of others or in time"),
+                _ = closed => tracing::debug!("the server closed a client's connection to make room or because a time limit had passed"),
             }
         });
     }
@@ -213,7 +213,7 @@
             closed_for_bytes = stats.closed_for_bytes,
             closed_by_head_timeout = stats.closed_by_head_timeout,
             closed_by_idle_timeout = stats.closed_by_idle_timeout,
-            "clients were refused; the numbers are totals"
+            "clients were refused or their connections closed; the numbers are totals"
         );
     }
 }
--- a/tests/ingress_budget.rs
+++ b/tests/ingress_budget.rs
@@ -150,7 +150,7 @@
     };
 
     /// A request that could not be held even alone closes nobody else's connection.
-    a_hopeless_demand_closes_nothing => |case| {
+    a_demand_over_the_limit_closes_nothing => |case| {
         let other = case.open("other", client(1));
         case.begin_body(other, 1, 400 * KIB);
         let large = case.open("large", client(1));
--- a/tests/ingress_server.rs
+++ b/tests/ingress_server.rs
@@ -101,6 +101,17 @@
     };
 }
 
+/// Reads the head of a response.
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a response");
+        head.extend(byte);
+    }
+    String::from_utf8_lossy(&head).into_owned()
+}
+
 server_tests! {
     /// What requests were charged is released after the response, and the rest at the end of the
     /// connection; else the server would refuse more and more.
@@ -152,9 +163,7 @@
             case.pending.lock().expect("a lock").len() == 2
         });
         let mut refused = send(case.address(), "/", "", &body);
-        let mut text = [0; 512];
-        let length = refused.read(&mut text).expect("a response");
-        let text = String::from_utf8_lossy(&text[..length]).into_owned();
+        let text = read_head(&mut refused);
         assert!(text.starts_with("HTTP/1.1 503"), "{text}");
         assert!(text.contains("retry-after: 1"), "{text}");
         assert!(request(case.address(), "", "small").starts_with("HTTP/1.1 200"));
