Derive the limits on callers from the machine

What callers saw: a crowd of 200 bodies of legal size (1 MiB) that stop one byte short ended `cardamomslipd` on a machine of 120 MB: "memory allocation of 1048576 bytes failed"; every job of that VM was lost. More idle connections than descriptors kept ordinary callers from being answered until the idle connections had expired.

Cause: `limits.ingress_bytes` was 512 MiB and `limits.connections` 16,384 by default, whatever the machine has. The daemon of the platform fell back to 256 MiB in the same way where the settings name no memory.

Change: `src/machine/` reads what the system grants the process: the smallest of physical memory, the control groups and the resource limits. Both daemons derive their defaults from it with the same function, log the limits with their sources at start, and `cardamomslipd` rejects settings that the machine is too small for (`--check` too).

Evidence: the new target `floods` of crates/test starts the daemon with `ulimit -d` of 120 MB (the smallest VM of the deployments) or `ulimit -n` of 128, and sends crowds of 200. The bound on descriptors was restated before the change, as the environment's own inherited descriptors count: half of the machine's and 16 others, in addition to those of before, as in the platform's tests.

Beside it: the crowd and the reading of a process, which the tests of both daemons use, are now one module of crates/test; crowds send from 20 threads at a time. `IngressLimits` has a file of its own, and its defaults stand once.

--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Command line and main function of the entry daemon.
 
 use crate::logging;
+use cardamomslip::machine::Machine;
 use cardamomslip::{Daemon, Settings, StopHandle};
 use eyre::{Result, bail};
 use getopts::Options;
@@ -28,7 +29,12 @@
     };
     let settings = Settings::load(&args.config)?;
     if args.check {
+        let limits = settings.limits.ingress(&Machine::detect())?;
         println!("{}: valid", args.config.display());
+        println!(
+            "callers may hold {} bytes and {} connections",
+            limits.bytes, limits.connections
+        );
         return Ok(());
     }
     logging::start(&settings.log)?;
--- a/platform/tests/floods/process.rs
+++ b/crates/test/src/flood/usage.rs
@@ -19,6 +19,11 @@
 
 impl Usage {
     /// Reads the usage of a running process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no process with this id runs.
+    #[must_use]
     pub fn read(pid: u32) -> Self {
         let dir = PathBuf::from(format!("/proc/{pid}"));
         let status = std::fs::read_to_string(dir.join("status")).expect("a running process");
@@ -32,6 +37,11 @@
     }
 
     /// Reads the usage once the process has read all that it is going to read.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no process with this id runs.
+    #[must_use]
     pub fn read_settled(pid: u32) -> Self {
         let mut last = Self::read(pid);
         let mut equal = 0;
@@ -44,3 +54,17 @@
         last
     }
 }
+
+/// Returns the memory that the kernel holds for all TCP sockets of the machine, in bytes.
+///
+/// # Panics
+///
+/// Panics if the kernel does not tell it.
+#[must_use]
+pub fn socket_memory_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/net/sockstat").expect("the kernel's counters");
+    let line = text.lines().find(|line| line.starts_with("TCP:"));
+    let pages = line.and_then(|line| line.split_whitespace().last());
+    let pages: usize = pages.expect("a value").parse().expect("a number");
+    pages * rustix::param::page_size()
+}
--- a/crates/test/src/lib.rs
+++ b/crates/test/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod cluster;
 pub mod executor;
+pub mod flood;
 pub mod http;
 pub mod platform;
 pub mod ports;
--- /dev/null
+++ b/crates/test/tests/floods/main.rs
@@ -0,0 +1,116 @@
+//! Clients that exhaust the memory or the descriptors of a daemon whose settings have no limits.
+//!
+//! A target of its own, whose tests run one at a time, as they load the machine. The limits of the
+//! daemon have to follow from its machine.
+
+mod daemon;
+
+use cardamomslip_test::flood::{Crowd, Machine, Script, Sources, Usage};
+use daemon::DaemonUnderTest;
+use std::sync::{Mutex, PoisonError};
+
+/// Number of clients of a crowd.
+const CLIENTS: u32 = 200;
+/// Size of the bodies, within the limit on bodies.
+const LEGAL_BODY_BYTES: usize = 1024 * 1024;
+/// Number of descriptors that the daemon may open beside half of those of its machine.
+const OTHER_DESCRIPTORS: u64 = 16;
+/// A machine with fewer descriptors than a crowd has clients.
+const FEW_DESCRIPTORS: Machine = Machine {
+    descriptors: 128,
+    ..Machine::SMALLEST
+};
+
+/// Only one flood runs at a time.
+static LOCK: Mutex<()> = Mutex::new(());
+
+/// Sends a crowd to a daemon, and checks that it stays within its machine and answers an ordinary
+/// request while the crowd's connections stay open.
+fn flood(name: &str, machine: Machine, script: impl Fn(u64) -> Script + Sync) {
+    let _guard = LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut daemon = DaemonUnderTest::start(name, machine);
+    let before = Usage::read_settled(daemon.pid());
+    let crowd = Crowd::send(daemon.callers, CLIENTS, Sources::Shared, script);
+    assert!(!daemon.has_exited(), "the daemon has ended");
+    let after = Usage::read_settled(daemon.pid());
+    eprintln!("{before:?}, then {after:?}");
+    daemon.wait_served();
+    assert!(!daemon.has_exited(), "the daemon has ended");
+    let max_kib = machine.memory_bytes / 1024;
+    assert!(after.peak_kib <= max_kib, "{} KiB", after.peak_kib);
+    let more = after.descriptors.saturating_sub(before.descriptors) as u64;
+    let max_more = machine.descriptors / 2 + OTHER_DESCRIPTORS;
+    assert!(more <= max_more, "{more} more descriptors");
+    crowd.close();
+    daemon.close();
+}
+
+/// Defines a test for each script, which the clients of a crowd send to a daemon on a machine.
+macro_rules! floods {
+    ($($(#[$doc:meta])* $name:ident($machine:expr) => $script:expr;)*) => {
+        $($(#[$doc])*
+        #[test]
+        fn $name() {
+            flood(stringify!($name), $machine, $script);
+        })*
+    };
+}
+
+/// Returns a submission with the given header about its body.
+fn submission(body_header: &str) -> Vec<u8> {
+    let head = format!("POST /v1/requests HTTP/1.1\r\nHost: entry\r\n{body_header}\r\n\r\n");
+    head.into_bytes()
+}
+
+/// Returns a submission of legal size without its last `missing` bytes.
+fn legal_body(missing: usize) -> Script {
+    let mut opening = submission(&format!("Content-Length: {LEGAL_BODY_BYTES}"));
+    opening.resize(opening.len() + LEGAL_BODY_BYTES - missing, b' ');
+    Script {
+        opening,
+        ..Script::default()
+    }
+}
+
+/// Returns a submission in `pieces` chunks of 64 KiB.
+fn chunked_body(pieces: usize) -> Script {
+    const CHUNK: usize = 64 * 1024;
+    let piece = format!("{CHUNK:x}\r\n{}\r\n", " ".repeat(CHUNK));
+    Script {
+        opening: submission("Transfer-Encoding: chunked"),
+        piece: piece.into_bytes(),
+        pieces,
+    }
+}
+
+/// Returns a head or empty lines without end, in pieces of 16 KiB.
+fn endless_head(opening: &[u8], piece: &[u8]) -> Script {
+    Script {
+        opening: opening.to_vec(),
+        piece: piece.repeat(16 * 1024 / piece.len()),
+        pieces: 64,
+    }
+}
+
+floods! {
+    /// Bodies of legal size that stop one byte short of their end: each was kept for 20 s.
+    legal_bodies_that_stop_short(Machine::SMALLEST) => |_| legal_body(1);
+
+    /// Bodies of legal size, which the daemon reads whole before it looks at their token.
+    legal_bodies_sent_whole(Machine::SMALLEST) => |_| legal_body(0);
+
+    /// Bodies that are not announced and stop short of the limit.
+    chunked_bodies_that_stop_short(Machine::SMALLEST) => |_| chunked_body(16);
+
+    /// Bodies that are not announced, far over the limit.
+    chunked_bodies_over_the_limit(Machine::SMALLEST) => |_| chunked_body(96);
+
+    /// Heads without end.
+    heads_without_end(Machine::SMALLEST) => |_| endless_head(b"GET / HTTP/1.1\r\nX-Long: ", b"a");
+
+    /// Empty lines before a request, without end.
+    empty_lines_without_end(Machine::SMALLEST) => |_| endless_head(b"", b"\r\n");
+
+    /// More connections than the process may have descriptors.
+    idle_connections(FEW_DESCRIPTORS) => |_| Script::default();
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,14 +3,15 @@
 use crate::callers::{AuthTable, CallerService};
 use crate::error::{Error, ErrorKind};
 use crate::executors::HttpExecutors;
-use crate::http::{HttpConfig, HttpServer, Ingress};
+use crate::http::{HttpConfig, HttpServer, Ingress, IngressLimits};
 use crate::input::{Input, InputSender};
+use crate::machine::Machine;
 use crate::names::{data_centre_id, vm_id};
 use crate::node_actor::{Environment, NodeActor};
 use crate::operators::{NodeMetrics, OperatorApi};
 use crate::peers::{PeerConfig, PeerHub};
 use crate::platform::{PlatformAdapter, PlatformClient};
-use crate::settings::Settings;
+use crate::settings::{Limits, Settings};
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::job_id::IdKey;
 use cardamomslip_core::model::message::Message;
@@ -85,9 +86,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error of kind [`ErrorKind::Listen`] if a socket can't be opened, and of kind
-    /// [`ErrorKind::Thread`] if a thread can't be started.
+    /// Returns an error of kind [`ErrorKind::Settings`] if the machine is too small for the limits, of
+    /// kind [`ErrorKind::Listen`] if a socket can't be opened, and of kind [`ErrorKind::Thread`] if a
+    /// thread can't be started.
     pub fn start(settings: Settings) -> Result<Self, Error> {
+        let machine = Machine::detect();
+        let ingress = settings.limits.ingress(&machine)?;
+        log_limits(&settings.limits, &ingress, &machine);
         let me = new_incarnation(&settings);
         let (tx, rx) = mpsc::channel();
         let tx = InputSender::new(tx);
@@ -98,7 +103,7 @@
             .enable_all()
             .build()
             .map_err(|e| Error::new(ErrorKind::Thread, e.to_string()))?;
-        let components = Components::new(&settings, me, &tx, &runtime)?;
+        let components = Components::new(&settings, ingress, me, &tx, &runtime)?;
         let (caller_address, peer_address) =
             (components.server.address(), components.peers.address());
         let node = Node::with_id_key(
@@ -163,6 +168,20 @@
     }
 }
 
+/// Logs the limits on callers, and what they follow from.
+fn log_limits(settings: &Limits, limits: &IngressLimits, machine: &Machine) {
+    let source = |is_set| if is_set { "settings" } else { "machine" };
+    tracing::info!(
+        memory = machine.memory.map(tracing::field::display),
+        descriptors = machine.descriptors,
+        ingress_bytes = limits.bytes,
+        ingress_bytes_from = source(settings.ingress_bytes.is_some()),
+        connections = limits.connections,
+        connections_from = source(settings.connections.is_some()),
+        "limits on callers"
+    );
+}
+
 fn new_incarnation(settings: &Settings) -> Incarnation {
     Incarnation {
         data_centre: data_centre_id(&settings.data_centre),
@@ -183,6 +202,7 @@
 impl Components {
     fn new(
         settings: &Settings,
+        ingress: IngressLimits,
         me: Incarnation,
         tx: &InputSender,
         runtime: &tokio::runtime::Runtime,
@@ -207,7 +227,7 @@
         let http = HttpConfig {
             listen: settings.listen.callers,
             body_bytes: settings.limits.body_bytes,
-            ingress: Ingress::new(settings.limits.ingress()),
+            ingress: Ingress::new(ingress),
         };
         let serve = move |exchange| service.serve(exchange);
         let server = HttpServer::start(http, runtime.handle(), serve)?;
--- a/src/http/ingress.rs
+++ b/src/http/ingress.rs
@@ -1,6 +1,7 @@
 //! The ingress budget of a running server.
 
-use super::ingress_budget::{Decision, IngressLimits};
+use super::ingress_budget::Decision;
+use super::ingress_limits::IngressLimits;
 use super::ingress_table::{CloseReason, IngressStats, IngressTable};
 use std::future::poll_fn;
 use std::net::IpAddr;
--- a/src/http/ingress_budget.rs
+++ b/src/http/ingress_budget.rs
@@ -9,67 +9,6 @@
 const IDLE_RESOLUTION: Duration = Duration::from_millis(100);
 /// Bytes that a connection holds beside its buffers: its task, its socket and a small body.
 pub(super) const CONNECTION_BYTES: usize = 16 * 1024;
-/// Bytes of a parsed head of the largest number of headers.
-const HEADER_MAP_BYTES: usize = 16 * 1024;
-
-/// Limits on what the clients of a server may hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct IngressLimits {
-    /// Limit on the bytes that all connections hold: buffers, requests being read and requests that
-    /// have not been answered.
-    pub bytes: usize,
-    /// Limit on the number of open connections.
-    pub connections: usize,
-    /// Limit on the head of a request, and on the empty lines before it, in bytes; at least
-    /// [`IngressLimits::MIN_HEAD_BYTES`].
-    pub head_bytes: usize,
-    /// Time limit for receiving a head that has begun.
-    pub head_timeout: Duration,
-    /// Time limit between two requests on a connection.
-    pub idle_timeout: Duration,
-}
-
-impl Default for IngressLimits {
-    /// Limits for a machine of which nothing is known.
-    fn default() -> Self {
-        Self {
-            bytes: 256 * 1024 * 1024,
-            connections: 16 * 1024,
-            head_bytes: 64 * 1024,
-            head_timeout: Duration::from_secs(60),
-            idle_timeout: Duration::from_secs(60),
-        }
-    }
-}
-
-impl IngressLimits {
-    /// Smallest value of `head_bytes`; the HTTP library reads this many bytes at a time.
-    pub const MIN_HEAD_BYTES: usize = 8 * 1024;
-
-    /// Splits off a part of the bytes and the connections for another server of the process. Returns the
-    /// rest and the part, which is one of `parts` equal ones.
-    #[must_use]
-    pub const fn split(self, parts: usize) -> (Self, Self) {
-        let part = Self {
-            bytes: self.bytes / parts,
-            connections: self.connections / parts,
-            ..self
-        };
-        let rest = Self {
-            bytes: self.bytes - part.bytes,
-            connections: self.connections - part.connections,
-            ..self
-        };
-        (rest, part)
-    }
-
-    /// Returns the bytes that a connection holds once it has received a large head or body: a full
-    /// buffer, one that the last head or the next part of a body refers to, and the parsed head.
-    #[must_use]
-    pub const fn large_connection_bytes(&self) -> usize {
-        CONNECTION_BYTES + 2 * self.head_bytes + HEADER_MAP_BYTES
-    }
-}
 
 /// How far a connection has come with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/src/http/ingress_limits.rs
@@ -0,0 +1,102 @@
+//! Limits on what the clients of a server may hold.
+
+use super::ingress_budget::CONNECTION_BYTES;
+use crate::machine::{Machine, MemorySource};
+use std::time::Duration;
+
+/// Bytes of a parsed head of the largest number of headers.
+const HEADER_MAP_BYTES: usize = 16 * 1024;
+/// The receive buffers in the kernel may take the memory divided by this. The rest is for the process
+/// itself and for connections that have not been accepted, whose buffers fill while it stalls.
+const MEMORY_PER_KERNEL: usize = 3;
+/// Size of a full receive buffer in the kernel, in bytes.
+const KERNEL_BYTES: usize = 64 * 1024;
+/// The budget in connections is the number of descriptors divided by this.
+const DESCRIPTORS_PER_CONNECTION: usize = 2;
+
+/// Limits on what the clients of a server may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IngressLimits {
+    /// Limit on the bytes that all connections hold: buffers, requests being read and requests that
+    /// have not been answered.
+    pub bytes: usize,
+    /// Limit on the number of open connections.
+    pub connections: usize,
+    /// Limit on the head of a request, and on the empty lines before it, in bytes; at least
+    /// [`IngressLimits::MIN_HEAD_BYTES`].
+    pub head_bytes: usize,
+    /// Time limit for receiving a head that has begun.
+    pub head_timeout: Duration,
+    /// Time limit between two requests on a connection.
+    pub idle_timeout: Duration,
+}
+
+impl Default for IngressLimits {
+    /// Limits for a machine of which nothing is known.
+    fn default() -> Self {
+        Self {
+            bytes: 256 * 1024 * 1024,
+            connections: 16 * 1024,
+            head_bytes: 64 * 1024,
+            head_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+impl IngressLimits {
+    /// Smallest value of `head_bytes`; the HTTP library reads this many bytes at a time.
+    pub const MIN_HEAD_BYTES: usize = 8 * 1024;
+    /// By default, `bytes` is the memory divided by this.
+    pub const MEMORY_PER_BUDGET: usize = 4;
+
+    /// Returns limits with which the clients, the kernel's buffers included, leave the machine room for
+    /// everything else. Memory that the settings don't name may be shared with other processes, so no
+    /// more than the default is taken of it.
+    #[must_use]
+    pub fn for_machine(machine: &Machine) -> Self {
+        let default = Self::default();
+        let bytes = machine.memory.map(|memory| {
+            let bytes = memory.bytes / Self::MEMORY_PER_BUDGET;
+            match memory.source {
+                MemorySource::Settings => bytes,
+                _ => bytes.min(default.bytes),
+            }
+        });
+        let memory = machine.memory_bytes();
+        let by_kernel = memory.map(|bytes| bytes / MEMORY_PER_KERNEL / KERNEL_BYTES);
+        let by_descriptors = machine
+            .descriptors
+            .map(|count| count / DESCRIPTORS_PER_CONNECTION);
+        let connections = [by_kernel, by_descriptors].into_iter().flatten().min();
+        Self {
+            bytes: bytes.unwrap_or(default.bytes),
+            connections: connections.unwrap_or(default.connections),
+            ..default
+        }
+    }
+
+    /// Splits off a part of the bytes and the connections for another server of the process. Returns the
+    /// rest and the part, which is one of `parts` equal ones.
+    #[must_use]
+    pub const fn split(self, parts: usize) -> (Self, Self) {
+        let part = Self {
+            bytes: self.bytes / parts,
+            connections: self.connections / parts,
+            ..self
+        };
+        let rest = Self {
+            bytes: self.bytes - part.bytes,
+            connections: self.connections - part.connections,
+            ..self
+        };
+        (rest, part)
+    }
+
+    /// Returns the bytes that a connection holds once it has received a large head or body: a full
+    /// buffer, one that the last head or the next part of a body refers to, and the parsed head.
+    #[must_use]
+    pub const fn large_connection_bytes(&self) -> usize {
+        CONNECTION_BYTES + 2 * self.head_bytes + HEADER_MAP_BYTES
+    }
+}
--- a/src/http/ingress_table.rs
+++ b/src/http/ingress_table.rs
@@ -1,8 +1,7 @@
 //! The connections of a server and what they hold.
 
-use super::ingress_budget::{
-    CONNECTION_BYTES, Candidate, Decision, Demand, IngressLimits, Rank, Stage, decide,
-};
+use super::ingress_budget::{CONNECTION_BYTES, Candidate, Decision, Demand, Rank, Stage, decide};
+use super::ingress_limits::IngressLimits;
 use cardamomslip_core::collections::FastMap;
 use std::net::{IpAddr, Ipv6Addr};
 use std::time::{Duration, Instant};
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod ingress;
 mod ingress_budget;
+mod ingress_limits;
 mod ingress_stream;
 mod ingress_table;
 mod observed;
@@ -13,7 +14,8 @@
 
 pub use exchange::{Exchange, Reply};
 pub use ingress::{Ingress, NoRoom};
-pub use ingress_budget::{Candidate, Decision, Demand, IngressLimits, Rank, Stage, decide};
+pub use ingress_budget::{Candidate, Decision, Demand, Rank, Stage, decide};
+pub use ingress_limits::IngressLimits;
 pub use ingress_table::{CloseReason, IngressStats, IngressTable};
 pub use pool::{Connection, OpenedConnections, Pool, PoolError, PooledResponse};
 pub use read_horizon::ReadHorizon;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod guarded;
 pub mod http;
 pub mod input;
+pub mod machine;
 pub mod names;
 mod node_actor;
 pub mod operators;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::error::{Error, ErrorKind};
 use crate::http::IngressLimits;
+use crate::machine::Machine;
 use cardamomslip_core::{Policy, PolicyBuilder};
 use serde::Deserialize;
 use std::collections::HashSet;
@@ -16,8 +17,16 @@
 const MIN_SECRET_LEN: usize = 16;
 /// Number of hexadecimal digits of a SHA-256 hash.
 const SHA256_DIGITS: usize = 64;
-/// Number of bodies of the largest size for which callers have room at the least.
+/// Number of bodies of the largest size for which callers have room, unless the machine is too small.
 const BODIES_AT_ONCE: usize = 16;
+/// Number of bodies of the largest size for which callers have room on the smallest machine.
+const MIN_BODIES_AT_ONCE: usize = 2;
+/// Largest default of [`Limits::ingress_bytes`].
+const MAX_DEFAULT_INGRESS_BYTES: usize = 512 * 1024 * 1024;
+/// Largest default of [`Limits::connections`].
+const MAX_DEFAULT_CONNECTIONS: usize = 16 * 1024;
+/// Callers may hold at most the memory of the machine divided by this.
+const MEMORY_PER_INGRESS: usize = 2;
 /// Valid values of [`Settings::weight`].
 const WEIGHT_RANGE: std::ops::RangeInclusive<u32> = 1..=1_000;
 
@@ -106,11 +115,14 @@
 pub struct Limits {
     /// Limit on the body of a request, in bytes; 4194304 by default.
     pub body_bytes: usize,
-    /// Limit on the bytes that the connections of all callers hold, at least 1048576; 536870912 by
-    /// default. Raised to 16 times `body_bytes` if that is more.
-    pub ingress_bytes: usize,
-    /// Limit on the open connections of callers, at least 16; 16384 by default.
-    pub connections: usize,
+    /// Limit on the bytes that the connections of all callers hold, at least 1048576 and at most half
+    /// of the memory; by default a quarter of it, and at most 536870912. Raised to 16 times
+    /// `body_bytes` as far as a quarter of the memory allows, and to twice `body_bytes` in any case.
+    pub ingress_bytes: Option<usize>,
+    /// Limit on the open connections of callers, at least 16 and at most the number of descriptors.
+    /// By default half of the descriptors, and at most 16384 or as many as have receive buffers in a
+    /// third of the memory.
+    pub connections: Option<usize>,
     /// Limit on the tasks of a job; 1500 by default.
     pub tasks_per_job: usize,
     /// Limit on the ids that one request may ask for; 1000 by default.
@@ -129,8 +141,8 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 * 1024 * 1024,
-            ingress_bytes: 512 * 1024 * 1024,
-            connections: 16 * 1024,
+            ingress_bytes: None,
+            connections: None,
             tasks_per_job: 1_500,
             ids_per_batch: 1_000,
             waiting_callers: 10_000,
@@ -301,16 +313,63 @@
 }
 
 impl Limits {
-    /// Returns the limits on what callers may hold.
-    #[must_use]
-    pub fn ingress(&self) -> IngressLimits {
-        IngressLimits {
-            bytes: self
-                .ingress_bytes
-                .max(BODIES_AT_ONCE.saturating_mul(self.body_bytes)),
-            connections: self.connections,
-            ..IngressLimits::default()
+    /// Returns the limits on what callers may hold on a machine.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of kind [`ErrorKind::Settings`] that names the field if the machine is too
+    /// small for the limits.
+    pub fn ingress(&self, machine: &Machine) -> Result<IngressLimits, Error> {
+        let default = IngressLimits::for_machine(machine);
+        let limits = IngressLimits {
+            bytes: self.ingress_bytes_on(machine),
+            connections: self
+                .connections
+                .unwrap_or_else(|| default.connections.min(MAX_DEFAULT_CONNECTIONS)),
+            ..default
+        };
+        self.check_bytes(limits.bytes, machine)?;
+        check_connections(limits.connections, machine)?;
+        Ok(limits)
+    }
+
+    fn ingress_bytes_on(&self, machine: &Machine) -> usize {
+        let part = machine
+            .memory_bytes()
+            .map_or(usize::MAX, |bytes| bytes / IngressLimits::MEMORY_PER_BUDGET);
+        let bytes = self
+            .ingress_bytes
+            .unwrap_or_else(|| part.min(MAX_DEFAULT_INGRESS_BYTES));
+        let bodies = BODIES_AT_ONCE.saturating_mul(self.body_bytes).min(part);
+        let min = MIN_BODIES_AT_ONCE.saturating_mul(self.body_bytes);
+        bytes.max(bodies).max(min)
+    }
+
+    fn check_bytes(&self, bytes: usize, machine: &Machine) -> Result<(), Error> {
+        let Some(memory) = machine.memory else {
+            return Ok(());
+        };
+        if bytes <= memory.bytes / MEMORY_PER_INGRESS {
+            return Ok(());
         }
+        let field = match self.ingress_bytes {
+            Some(set) if set == bytes => "ingress_bytes",
+            _ => "body_bytes",
+        };
+        Err(settings_error(format!(
+            "limits.{field}: callers could hold {bytes} bytes, more than half of the memory ({memory})"
+        )))
+    }
+
+    fn check_waiting(&self) -> Result<(), Error> {
+        require(
+            self.waiting_callers >= 1,
+            "limits.waiting_callers: must be at least 1",
+        )?;
+        require(
+            self.waiters_per_job >= 1,
+            "limits.waiters_per_job: must be at least 1",
+        )
     }
 
     fn validate(&self) -> Result<(), Error> {
@@ -319,11 +378,11 @@
             "limits.body_bytes: must be at least 1024",
         )?;
         require(
-            self.ingress_bytes >= 1024 * 1024,
+            self.ingress_bytes.is_none_or(|bytes| bytes >= 1024 * 1024),
             "limits.ingress_bytes: must be at least 1048576",
         )?;
         require(
-            self.connections >= 16,
+            self.connections.is_none_or(|count| count >= 16),
             "limits.connections: must be at least 16",
         )?;
         require(
@@ -334,14 +393,17 @@
             self.ids_per_batch >= 1,
             "limits.ids_per_batch: must be at least 1",
         )?;
-        require(
-            self.waiting_callers >= 1,
-            "limits.waiting_callers: must be at least 1",
-        )?;
-        require(
-            self.waiters_per_job >= 1,
-            "limits.waiters_per_job: must be at least 1",
-        )
+        self.check_waiting()
+    }
+}
+
+fn check_connections(connections: usize, machine: &Machine) -> Result<(), Error> {
+    match machine.descriptors {
+        Some(descriptors) if connections > descriptors => Err(settings_error(format!(
+            "limits.connections: {connections} are more than the {descriptors} descriptors that the \
+             process may have open"
+        ))),
+        _ => Ok(()),
     }
 }
 
