Limit the connections that haven't proved to come from a peer

What callers saw: 200 connections to the peers' listener that send half a head, or nothing, took 200 descriptors of the daemon. Nothing limited their number, so that a stranger could take the descriptors of callers.

Cause: the listener accepted whatever came, and gave each connection 3 s for its handshake.

Change: `HandshakeTable` decides, without a network, whether a connection is admitted, waits, or takes the place of another one: the oldest of the client address that holds most, but none younger than 100 ms. The limit is a sixteenth of the connections of clients. A connection leaves the table when its peer has shown the secret and its hello; then it is closed for nobody. Rejections are logged once a second instead of each.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -215,7 +215,7 @@
         let operators = OperatorApi::new(tx.clone(), platform.clone(), metrics.clone());
         let auth = AuthTable::new(&settings.operators);
         let ready = Arc::new(AtomicBool::new(false));
-        let peers = start_peers(settings, me, tx, runtime)?;
+        let peers = start_peers(settings, &ingress, me, tx, runtime)?;
         let service = CallerService::new(
             settings.limits,
             auth.clone(),
@@ -263,6 +263,7 @@
 
 fn start_peers(
     settings: &Settings,
+    ingress: &IngressLimits,
     me: Incarnation,
     tx: &InputSender,
     runtime: &tokio::runtime::Runtime,
@@ -270,7 +271,10 @@
     let peer_timeout = Duration::from_millis(settings.timing.peer_silence_ms);
     let secret = settings.peer_secret.clone();
     let seeds = settings.peers.clone();
-    let config = PeerConfig::new(me, secret, peer_timeout, settings.listen.peers, seeds);
+    let config = PeerConfig {
+        max_handshakes: ingress.handshakes(),
+        ..PeerConfig::new(me, secret, peer_timeout, settings.listen.peers, seeds)
+    };
     PeerHub::start(config, runtime.handle(), tx.clone())
 }
 
--- a/src/http/ingress_limits.rs
+++ b/src/http/ingress_limits.rs
@@ -14,6 +14,9 @@
 /// The budget in connections is the number of descriptors divided by this.
 const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
+/// Number of connections of clients for each connection of a peer in its handshake.
+const CONNECTIONS_PER_HANDSHAKE: usize = 16;
+
 /// Limits on what the clients of a server may hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct IngressLimits {
@@ -93,6 +96,13 @@
         (rest, part)
     }
 
+    /// Returns the limit on the connections of peers whose handshake is not complete. They come in
+    /// addition to those of clients, and few are needed, as a handshake takes milliseconds.
+    #[must_use]
+    pub const fn handshakes(&self) -> usize {
+        self.connections / CONNECTIONS_PER_HANDSHAKE
+    }
+
     /// Returns the bytes that a connection holds once it has received a large head or body: a full
     /// buffer, one that the last head or the next part of a body refers to, and the parsed head.
     #[must_use]
--- a/src/http/ingress_table.rs
+++ b/src/http/ingress_table.rs
@@ -1,9 +1,10 @@
 //! The connections of a server and what they hold.
 
+use super::client_key::client_key;
 use super::ingress_budget::{CONNECTION_BYTES, Candidate, Decision, Demand, Rank, Stage, decide};
 use super::ingress_limits::IngressLimits;
 use cardamomslip_core::collections::FastMap;
-use std::net::{IpAddr, Ipv6Addr};
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 /// Number of received bytes after which a connection counts as active again, so that one that sends
@@ -11,8 +12,6 @@
 const PROGRESS_BYTES: usize = 1024;
 /// Number of bytes of a request from which on its connection needs larger buffers.
 const SMALL_REQUEST_BYTES: usize = 4 * 1024;
-/// Bits of an IPv6 address that identify a client; it can choose the others.
-const IPV6_CLIENT_BITS: u32 = 64;
 
 /// Reason for closing a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -447,14 +446,3 @@
         self.rows[key].as_mut().expect("the connection is open")
     }
 }
-
-/// Returns the part of an address that identifies a client.
-fn client_key(address: IpAddr) -> IpAddr {
-    match address.to_canonical() {
-        IpAddr::V6(address) => {
-            let bits = address.to_bits() >> IPV6_CLIENT_BITS << IPV6_CLIENT_BITS;
-            IpAddr::V6(Ipv6Addr::from_bits(bits))
-        }
-        address @ IpAddr::V4(_) => address,
-    }
-}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP server and client connection pool, built on `hyper`.
 
 mod body;
+mod client_key;
 mod exchange;
 mod ingress;
 mod ingress_budget;
@@ -12,6 +13,7 @@
 mod read_horizon;
 mod server;
 
+pub(crate) use client_key::client_key;
 pub use exchange::{Exchange, Reply};
 pub use ingress::{Ingress, NoRoom};
 pub use ingress_budget::{Candidate, Decision, Demand, Rank, Stage, decide};
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -1,10 +1,12 @@
 //! Handle to all connections to peers.
 
+use super::handshakes::Handshakes;
 use super::hub_event::{HubEvent, HubSender, PeerAddress};
 use super::hub_state::HubState;
 use super::link::{self, LinkConfig, LinkError};
 use super::peer_config::PeerConfig;
 use super::protocol::{PeerMessage, PeerSink};
+use super::rejections::Rejections;
 use crate::accept_failures::AcceptFailures;
 use crate::error::{Error, ErrorKind};
 use cardamomslip_core::model::ids::VmId;
@@ -57,7 +59,9 @@
         let guard = runtime.enter();
         let listener = TcpListener::from_std(listener).map_err(failed)?;
         drop(guard);
-        runtime.spawn(listen(listener, config.link.clone(), tx.clone()));
+        let handshakes = Handshakes::new(config.max_handshakes);
+        let link = config.link.clone();
+        runtime.spawn(listen(listener, link, handshakes, tx.clone()));
         let state = HubState::new(config, tx.clone(), sink, address);
         runtime.spawn(state.run(rx));
         Ok(Self {
@@ -125,8 +129,15 @@
     }
 }
 
-async fn listen<M: PeerMessage>(listener: TcpListener, config: LinkConfig, tx: HubSender<M>) {
+/// Accepts connections. One that hasn't proved to come from a peer is closed if others need its place.
+async fn listen<M: PeerMessage>(
+    listener: TcpListener,
+    config: LinkConfig,
+    handshakes: Handshakes,
+    tx: HubSender<M>,
+) {
     let mut failures = AcceptFailures::default();
+    let rejections = Rejections::default();
     loop {
         let (stream, address) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -135,16 +146,17 @@
                 continue;
             }
         };
-        let (config, tx) = (config.clone(), tx.clone());
+        let (permit, closed) = handshakes.admit(address.ip()).await;
+        let link = link::accept(config.clone(), stream, permit, tx.clone());
+        let rejections = rejections.clone();
         tokio::spawn(async move {
-            match link::accept(config, stream, tx).await {
-                Ok(()) => {}
-                Err(LinkError::Duplicate) => {
-                    tracing::info!(%address, "rejected a duplicate peer connection");
-                }
-                Err(e) => {
-                    tracing::warn!(%address, error = %e, "incoming peer connection failed");
-                }
+            let result = tokio::select! {
+                biased;
+                result = link => result,
+                Ok(()) = closed => Err(LinkError::Displaced),
+            };
+            if let Err(e) = result {
+                rejections.log(address, &e);
             }
         });
     }
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -1,5 +1,6 @@
 //! A single connection to a peer.
 
+use super::handshakes::HandshakePermit;
 use super::hello::{self, Hello};
 use super::hub_event::{Direction, HubEvent, HubSender};
 use super::protocol::PeerMessage;
@@ -61,6 +62,9 @@
     /// The address belongs to this process.
     #[error("the address belongs to this process")]
     SelfConnection,
+    /// Another incoming connection needed the place of this one before its handshake was complete.
+    #[error("closed in its handshake in favour of another connection")]
+    Displaced,
     /// A live connection to the peer exists already.
     #[error("already connected to this peer")]
     Duplicate,
@@ -111,7 +115,8 @@
 }
 
 /// Accepts a connection and runs it until it ends. The connection is rejected if a live one to the
-/// same peer exists, so that no message in flight on that one is lost.
+/// same peer exists, so that no message in flight on that one is lost. `permit` is held until the end of
+/// the handshake.
 ///
 /// # Errors
 ///
@@ -119,6 +124,7 @@
 pub async fn accept<M: PeerMessage>(
     config: LinkConfig,
     stream: TcpStream,
+    permit: HandshakePermit,
     tx: HubSender<M>,
 ) -> Result<(), LinkError> {
     let secret = config.secret.clone();
@@ -136,6 +142,7 @@
             return Err(LinkError::Duplicate);
         }
         send_hello(&mut socket, config.me).await?;
+        drop(permit);
         Ok((socket, peer))
     };
     run_after_handshake(connect, Direction::Incoming, &config, tx.clone()).await
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! Two processes share one connection. The upgrade request carries the shared secret and the
 //! protocol version, and the first frame of each side carries its incarnation. The size of frames
-//! is limited.
+//! is limited, and so is the number of connections whose handshake is not complete.
 
 mod dial_target;
+mod handshake_table;
+mod handshakes;
 mod hello;
 mod hub;
 mod hub_event;
@@ -12,8 +14,10 @@
 mod link;
 mod peer_config;
 mod protocol;
+mod rejections;
 mod wire;
 
+pub use handshake_table::{HandshakeDecision, HandshakeTable};
 pub use hub::PeerHub;
 pub use hub_event::PeerAddress;
 pub use peer_config::PeerConfig;
--- a/src/peers/peer_config.rs
+++ b/src/peers/peer_config.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Default of [`PeerConfig::max_handshakes`].
+const DEFAULT_MAX_HANDSHAKES: usize = 64;
+
 /// Configuration of a [`PeerHub`](super::PeerHub).
 #[derive(Clone, Debug)]
 pub struct PeerConfig {
@@ -15,6 +18,8 @@
     /// Time without a message within which a connection counts as alive: another connection from
     /// its peer is then rejected.
     pub alive_within: Duration,
+    /// Limit on the incoming connections whose handshake is not complete.
+    pub max_handshakes: usize,
     /// Addresses to connect to as long as no peer is connected.
     pub seeds: Vec<SocketAddr>,
 }
@@ -38,6 +43,7 @@
             },
             listen,
             alive_within: idle_timeout / 2,
+            max_handshakes: DEFAULT_MAX_HANDSHAKES,
             seeds,
         }
     }
