Give the hasher of maps a random key of the process

Cause: `FastMap` hashed job ids, which clients choose, with a multiplication by a constant that stands in the source.

Setting the key after the first map is an error, as its entries would not be found.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::peers::{PeerConfig, PeerHub};
 use crate::platform::{PlatformAdapter, PlatformClient};
 use crate::settings::{Limits, Settings};
+use cardamomslip_core::collections::set_hash_key;
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::job_id::IdKey;
 use cardamomslip_core::model::message::Message;
@@ -90,6 +91,8 @@
     /// kind [`ErrorKind::Listen`] if a socket can't be opened, and of kind [`ErrorKind::Thread`] if a
     /// thread can't be started.
     pub fn start(settings: Settings) -> Result<Self, Error> {
+        // This fails if an earlier daemon of the process has set a key.
+        let _ = set_hash_key(rand::random());
         let machine = Machine::detect();
         let ingress = settings.limits.ingress(&machine)?;
         log_limits(&settings.limits, &ingress, &machine);
