Bound the connections that wait to be accepted

What callers saw: nothing yet; a daemon that stands still while clients send could exceed the memory of its machine, and be ended for it: three listeners with 512 waiting connections and 64 KiB of receive buffer each are 96 MiB, on machines of 120 MB.

Cause: the length of the accept queue was one constant for each listener, reckoned for one of them. That of the peers' listener was the default of the standard library.

Change: half as many connections may wait as may be open, 16 to 512, which follows from the machine as the connections do: their buffers take a sixth of the memory. At the peers' listener 128 may wait.

Clients have small send buffers, as their side counts too.

--- a/crates/test/src/flood/crowd.rs
+++ b/crates/test/src/flood/crowd.rs
@@ -1,12 +1,15 @@
 //! Crowds of clients that keep their connections open.
 
+use rustix::net::sockopt::{Timeout, set_socket_send_buffer_size, set_socket_timeout};
 use rustix::net::{AddressFamily, SocketType, bind, connect, socket};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::thread::ScopedJoinHandle;
 use std::time::Duration;
 
-/// Time for which a client waits until the server has read what it sent before.
+/// Size of the send buffer of a client, in bytes.
+const SEND_BUFFER_BYTES: usize = 4 * 1024;
+/// Time for which a client waits until it is connected, or the server has read what it sent before.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Number of threads that send at the same time.
@@ -66,6 +69,21 @@
         Self { streams }
     }
 
+    /// Sends bytes on each connection, until the server reads no more.
+    pub fn send_more(&mut self, bytes: &[u8]) {
+        let part = self.streams.len().div_ceil(SENDERS as usize).max(1);
+        std::thread::scope(|scope| {
+            for streams in self.streams.chunks_mut(part) {
+                scope.spawn(move || {
+                    for stream in streams {
+                        // The connection may have been closed.
+                        drop(stream.write_all(bytes));
+                    }
+                });
+            }
+        });
+    }
+
     /// Closes all connections.
     pub fn close(self) {
         drop(self.streams);
@@ -86,9 +104,6 @@
         let Ok(mut stream) = open(address, client, sources) else {
             continue;
         };
-        stream
-            .set_write_timeout(Some(WRITE_TIMEOUT))
-            .expect("a socket");
         let script = script(u64::from(client));
         if stream.write_all(&script.opening).is_ok() {
             senders.push((stream.try_clone().expect("a socket"), script));
@@ -107,11 +122,17 @@
     streams
 }
 
+/// Opens a connection whose send buffer is small, so that what is not received is not sent either.
 fn open(address: SocketAddr, client: u32, sources: Sources) -> io::Result<TcpStream> {
-    match sources {
-        Sources::Shared => TcpStream::connect(address),
-        Sources::Own => connect_from(own_address(client), address),
+    let fd = socket(AddressFamily::INET, SocketType::STREAM, None)?;
+    // This also limits the time for connecting.
+    set_socket_timeout(&fd, Timeout::Send, Some(WRITE_TIMEOUT))?;
+    set_socket_send_buffer_size(&fd, SEND_BUFFER_BYTES)?;
+    if sources == Sources::Own {
+        bind(&fd, &SocketAddr::new(own_address(client).into(), 0))?;
     }
+    connect(&fd, &address)?;
+    Ok(TcpStream::from(fd))
 }
 
 /// Returns the loopback address of a client.
@@ -119,10 +140,3 @@
     const FIRST: u32 = Ipv4Addr::new(127, 200, 0, 1).to_bits();
     Ipv4Addr::from_bits(FIRST + client)
 }
-
-fn connect_from(source: Ipv4Addr, address: SocketAddr) -> io::Result<TcpStream> {
-    let fd = socket(AddressFamily::INET, SocketType::STREAM, None)?;
-    bind(&fd, &SocketAddr::new(source.into(), 0))?;
-    connect(&fd, &address)?;
-    Ok(TcpStream::from(fd))
-}
--- a/src/http/ingress_limits.rs
+++ b/src/http/ingress_limits.rs
@@ -6,14 +6,20 @@
 
 /// Bytes of a parsed head of the largest number of headers.
 const HEADER_MAP_BYTES: usize = 16 * 1024;
-/// The receive buffers in the kernel may take the memory divided by this. The rest is for the process
-/// itself and for connections that have not been accepted, whose buffers fill while it stalls.
+/// The receive buffers of open connections may take the memory divided by this, and those of connections
+/// that wait to be accepted half as much. The rest is for the process.
 const MEMORY_PER_KERNEL: usize = 3;
 /// Size of a full receive buffer in the kernel, in bytes.
 const KERNEL_BYTES: usize = 64 * 1024;
 /// The budget in connections is the number of descriptors divided by this.
 const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
+/// Number of open connections for each that may wait to be accepted.
+const CONNECTIONS_PER_BACKLOG: usize = 2;
+/// Smallest limit on the connections that wait to be accepted: a few may always come at once.
+const MIN_BACKLOG: usize = 16;
+/// Largest limit on the connections that wait to be accepted.
+const MAX_BACKLOG: usize = 512;
 /// Number of connections of clients for each connection of a peer in its handshake.
 const CONNECTIONS_PER_HANDSHAKE: usize = 16;
 
@@ -96,6 +102,14 @@
         (rest, part)
     }
 
+    /// Returns the limit on the connections that wait to be accepted. While the process stalls, they have
+    /// full receive buffers, too.
+    #[must_use]
+    pub fn backlog(&self) -> u32 {
+        let backlog = self.connections / CONNECTIONS_PER_BACKLOG;
+        backlog.clamp(MIN_BACKLOG, MAX_BACKLOG) as u32
+    }
+
     /// Returns the limit on the connections of peers whose handshake is not complete. They come in
     /// addition to those of clients, and few are needed, as a handshake takes milliseconds.
     #[must_use]
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -26,9 +26,6 @@
 /// Bytes that the kernel may receive for a connection before they are read; it keeps twice as many
 /// for its own needs.
 const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
-/// Maximum number of connections that have not been accepted. On the smallest VMs, their full receive
-/// buffers take a quarter of the memory.
-const BACKLOG: u32 = 512;
 /// Time limit for requests in progress to finish when the server closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -67,7 +64,8 @@
         let failed =
             |e: std::io::Error| Error::new(ErrorKind::Listen, format!("{}: {e}", config.listen));
         let guard = runtime.enter();
-        let listener = listen(config.listen).map_err(failed)?;
+        let backlog = config.ingress.limits().backlog();
+        let listener = listen(config.listen, backlog).map_err(failed)?;
         drop(guard);
         let address = listener.local_addr().map_err(failed)?;
         let server = Server { config, handle };
@@ -108,9 +106,9 @@
     }
 }
 
-/// Opens a listener whose connections have small receive buffers, as these count towards the memory of
-/// the machine.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+/// Opens a listener with at most `backlog` connections that have not been accepted. Its connections have
+/// small receive buffers, as these count towards the memory of the machine.
+fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -118,7 +116,7 @@
     socket.set_reuseaddr(true)?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 /// What the connections of a server share.
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -13,13 +13,17 @@
 use cardamomslip_core::model::incarnation::Incarnation;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 
 /// Time limit for sending queued frames when the hub closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of connections that have not been accepted. While the process stalls, the kernel holds
+/// what they send.
+const BACKLOG: u32 = 128;
+
 /// All connections to peers. Clones share them.
 #[derive(Debug)]
 pub struct PeerHub<M> {
@@ -51,14 +55,12 @@
     ) -> Result<Self, Error> {
         let failed =
             |e: std::io::Error| Error::new(ErrorKind::Listen, format!("{}: {e}", config.listen));
-        let listener = std::net::TcpListener::bind(config.listen).map_err(failed)?;
-        listener.set_nonblocking(true).map_err(failed)?;
+        let guard = runtime.enter();
+        let listener = bind(config.listen).map_err(failed)?;
+        drop(guard);
         let address = listener.local_addr().map_err(failed)?;
         let (tx, rx) = mpsc::unbounded_channel();
         let tx = HubSender::new(tx);
-        let guard = runtime.enter();
-        let listener = TcpListener::from_std(listener).map_err(failed)?;
-        drop(guard);
         let handshakes = Handshakes::new(config.max_handshakes);
         let link = config.link.clone();
         runtime.spawn(listen(listener, link, handshakes, tx.clone()));
@@ -129,6 +131,16 @@
     }
 }
 
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts connections. One that hasn't proved to come from a peer is closed if others need its place.
 async fn listen<M: PeerMessage>(
     listener: TcpListener,
