Limit how often clients make a VM ask all others for a job

What callers saw: each DELETE of an unknown id asks every VM of the system, some 50 messages with 43 VMs, as often as one client sends it. The others work for it, and their callers wait.

Cause: only the open cancellations were limited (4,096), not their rate.

Change: a VM begins such a search for its clients 512 times a second at most, and 1,024 times at once (`TokenBucket`). Beyond that the DELETE is answered 503 with `Retry-After` at once: not all VMs were asked, which is true. Jobs that the VM, its relays or its standbys know are cancelled as before. A whole deployment has 360 cancellations a second.

--- a/crates/core/src/guarded/stats.rs
+++ b/crates/core/src/guarded/stats.rs
@@ -34,6 +34,8 @@
     pub cancel_marks: u64,
     /// Cancellations by clients for which all VMs were asked.
     pub cancels_passed_on: u64,
+    /// Cancellations by clients for which not all VMs were asked, as too many were asked before.
+    pub cancels_over_limit: u64,
     /// Placements of jobs with a peer.
     pub placed_remote: u64,
     /// Runs started, not counting repeated requests.
--- a/crates/core/src/guarded/systems/cancels.rs
+++ b/crates/core/src/guarded/systems/cancels.rs
@@ -590,6 +590,10 @@
                 let doublings = row.attempts.saturating_sub(1).min(MAX_DOUBLINGS);
                 row.stage = Stage::Pause(cx.now + FIRST_PAUSE * (1 << doublings));
             }
+            Stage::Locals if !world.lookup_limit.take(cx.now) => {
+                world.stats.cancels_over_limit += 1;
+                return Some(CancelOutcome::Incomplete);
+            }
             Stage::Locals | Stage::Pause(_) => ask_all(world, cx, job, row),
         }
     }
--- a/crates/core/src/guarded/tables/mod.rs
+++ b/crates/core/src/guarded/tables/mod.rs
@@ -18,6 +18,7 @@
 pub mod starts_in_flight;
 pub mod stop;
 pub mod suspects;
+pub mod token_bucket;
 pub mod topology;
 pub mod vm_directory;
 pub mod worker;
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -27,6 +27,7 @@
 use super::tables::runner_job::RunnerJob;
 use super::tables::starts_in_flight::StartsInFlight;
 use super::tables::suspects::Suspects;
+use super::tables::token_bucket::TokenBucket;
 use super::tables::topology::Topology;
 use super::tables::vm_directory::VmDirectory;
 use super::tables::worker::{Run, Worker};
@@ -150,6 +151,8 @@
     pub cancel_marks: CancelMarks,
     /// Cancellations that wait for other VMs.
     pub cancellations: Cancellations,
+    /// Limits how often clients make this VM ask all others for a job.
+    pub lookup_limit: TokenBucket,
     /// What `systems::cancels` sends to the peers.
     pub cancel_outbox: CancelOutbox,
     /// Starts that no worker answered, of this VM and of others.
@@ -189,6 +192,11 @@
     pub last_broadcast_at: Time,
 }
 
+/// Number of times a second that clients may make this VM ask all others for a job. More than the
+/// cancellations of a whole deployment.
+const LOOKUPS_PER_SECOND: u32 = 512;
+/// Number of times that they may do so at once.
+const LOOKUP_BURST: u32 = 1_024;
 /// Mean run time assumed before the first observation, in milliseconds.
 const DEFAULT_MEAN_RUN_MS: f64 = 200.0;
 /// Number of low bits of a fencing token that identify the VM.
@@ -238,6 +246,7 @@
             recent: RecentOutcomes::default(),
             cancel_marks: CancelMarks::default(),
             cancellations: Cancellations::default(),
+            lookup_limit: TokenBucket::new(LOOKUPS_PER_SECOND, LOOKUP_BURST),
             cancel_outbox: CancelOutbox::default(),
             starts_in_flight: StartsInFlight::default(),
             start_reports: Vec::new(),
--- a/crates/core/tests/guarded/cancels.rs
+++ b/crates/core/tests/guarded/cancels.rs
@@ -41,6 +41,10 @@
 /// asked once, and of a job whose entry is asked.
 const MAX_ROWS: u64 = 120;
 const MAX_KNOWN_ROWS: u64 = 80;
+/// Number of DELETEs of unknown ids that one VM gets within a second.
+const FLOOD: u64 = 4_000;
+/// Number of times that a VM may ask all others within a second: 1,024 at once, and 512 a second.
+const MAX_ASKED: u64 = 1_024 + 512;
 /// Time from a cancellation until the runs have ended, in milliseconds: messages and the stop.
 const CANCEL_TIME: u64 = 200;
 
@@ -337,4 +341,28 @@
         let rows = rows / 8;
         assert!(rows < MAX_KNOWN_ROWS, "{rows} rows per cancellation of a known job");
     };
+
+    /// Guards against a client that makes the whole system work by DELETEs of unknown ids at one VM. A
+    /// job that a VM near knows is cancelled meanwhile, and so is any job at another VM.
+    a_flood_of_cancellations_asks_a_bounded_number_of_times(LARGE) => |sim| {
+        for i in 0..FLOOD {
+            sim.cancel(ClientJobId(9_000 + i), 9);
+            if i % 4 == 3 {
+                sim.advance(1);
+            }
+        }
+        let asked = sim.stats_of(9).cancels_passed_on;
+        assert!(asked <= MAX_ASKED, "{asked} times");
+        for (entry, vm) in [(5, 9), (3, 10)] {
+            let id = submit(sim, entry);
+            for i in 0..FLOOD / 40 {
+                sim.cancel(ClientJobId(20_000 + i), 9);
+            }
+            assert_eq!(cancel_and_wait(sim, id, vm).0, CancelOutcome::Cancelled);
+        }
+        sim.advance(ACK_LIMIT);
+        assert_eq!(sim.cancel_acks.len() as u64, FLOOD + FLOOD / 20 + 2);
+        // One that all VMs can be asked for again.
+        assert_eq!(cancel_and_wait(sim, ClientJobId(8_000), 9).0, CancelOutcome::Unknown);
+    };
 }
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -95,6 +95,7 @@
             gauge!("cardamomslip_open_cancels").set(stats.open_cancels as f64);
             gauge!("cardamomslip_cancel_marks").set(stats.cancel_marks as f64);
             counter!("cardamomslip_cancels_passed_on_total").absolute(stats.cancels_passed_on);
+            counter!("cardamomslip_cancels_over_limit_total").absolute(stats.cancels_over_limit);
             counter!("cardamomslip_placed_remote_total").absolute(stats.placed_remote);
             counter!("cardamomslip_starts_total").absolute(stats.starts);
             counter!("cardamomslip_starts_refused_total").absolute(stats.starts_refused);
