Limit the threads for blocking calls by the memory

What callers saw: 200 clients that ask for the metrics of `cardamomslipd`, which needs no token, and don't read the answers ended the process on a machine of 60 MB: "memory allocation of 9432 bytes failed".

Cause: each such request runs on a thread of its own, of up to 2,048 with stacks of 256 KiB: 512 MiB, whatever the machine has.

Change: as many of these threads may exist as have their stacks in a quarter of the memory, but 16 to 2,048. Further calls wait for one.

--- a/crates/test/tests/floods/main.rs
+++ b/crates/test/tests/floods/main.rs
@@ -21,6 +21,12 @@
     ..Machine::SMALLEST
 };
 
+/// A machine with half of the memory of the smallest VM, for a crowd that is half of what that admits.
+const HALF_OF_SMALLEST: Machine = Machine {
+    memory_bytes: Machine::SMALLEST.memory_bytes / 2,
+    ..Machine::SMALLEST
+};
+
 /// Only one flood runs at a time.
 static LOCK: Mutex<()> = Mutex::new(());
 
@@ -113,4 +119,10 @@
 
     /// More connections than the process may have descriptors.
     idle_connections(FEW_DESCRIPTORS) => |_| Script::default();
+
+    /// Requests that are served on threads of their own, without a token, whose answers are not read.
+    requests_for_metrics(HALF_OF_SMALLEST) => |_| Script {
+        opening: b"GET /metrics HTTP/1.1\r\nHost: entry\r\n\r\n".repeat(200),
+        ..Script::default()
+    };
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -30,6 +30,11 @@
 /// Maximum number of threads for blocking calls: platform calls, operators' requests and the
 /// encoding of responses.
 const MAX_BLOCKING_THREADS: usize = 2_048;
+/// Number of these threads on the smallest machine.
+const MIN_BLOCKING_THREADS: usize = 16;
+/// The stacks of these threads may take the memory of the machine divided by this. Each uses a small
+/// part of its stack.
+const MEMORY_PER_STACKS: usize = 4;
 /// Stack size of the runtime's threads, in bytes.
 const THREAD_STACK_BYTES: usize = 256 * 1024;
 /// Maximum wait for an input before the loop checks for shutdown.
@@ -101,7 +106,7 @@
         let tx = InputSender::new(tx);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(WORKER_THREADS)
-            .max_blocking_threads(MAX_BLOCKING_THREADS)
+            .max_blocking_threads(max_blocking_threads(&machine))
             .thread_stack_size(THREAD_STACK_BYTES)
             .enable_all()
             .build()
@@ -171,6 +176,16 @@
     }
 }
 
+/// Returns the number of threads for blocking calls on a machine. Calls beyond it wait.
+fn max_blocking_threads(machine: &Machine) -> usize {
+    let by_memory = machine
+        .memory_bytes()
+        .map(|bytes| bytes / MEMORY_PER_STACKS / THREAD_STACK_BYTES);
+    by_memory
+        .unwrap_or(MAX_BLOCKING_THREADS)
+        .clamp(MIN_BLOCKING_THREADS, MAX_BLOCKING_THREADS)
+}
+
 /// Logs the limits on callers, and what they follow from.
 fn log_limits(settings: &Limits, limits: &IngressLimits, machine: &Machine) {
     let source = |is_set| if is_set { "settings" } else { "machine" };
