--- a/crates/test/src/flood/crowd.rs
+++ b/crates/test/src/flood/crowd.rs
@@ -1,6 +1,8 @@
 //! Crowds of clients that keep their connections open.
 
-use rustix::net::sockopt::{Timeout, set_socket_send_buffer_size, set_socket_timeout};
+use rustix::net::sockopt::{
+    Timeout, set_socket_linger, set_socket_send_buffer_size, set_socket_timeout,
+};
 use rustix::net::{AddressFamily, SocketType, bind, connect, socket};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -84,6 +86,18 @@
         });
     }
 
+    /// Resets all connections.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a socket can't be configured.
+    pub fn reset(self) {
+        for stream in &self.streams {
+            set_socket_linger(stream, Some(Duration::ZERO)).expect("a socket");
+        }
+        self.close();
+    }
+
     /// Closes all connections.
     pub fn close(self) {
         drop(self.streams);
