Tests: clients' connections are not inherited by daemons started meanwhile

Cause: the crowd's sockets had no close-on-exec flag, so that the peer, which the series restarts, held them open.

--- a/crates/test/src/flood/crowd.rs
+++ b/crates/test/src/flood/crowd.rs
@@ -3,7 +3,7 @@
 use rustix::net::sockopt::{
     Timeout, set_socket_linger, set_socket_send_buffer_size, set_socket_timeout,
 };
-use rustix::net::{AddressFamily, SocketType, bind, connect, socket};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, connect, socket_with};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::thread::ScopedJoinHandle;
@@ -138,7 +138,9 @@
 
 /// Opens a connection whose send buffer is small, so that what is not received is not sent either.
 fn open(address: SocketAddr, client: u32, sources: Sources) -> io::Result<TcpStream> {
-    let fd = socket(AddressFamily::INET, SocketType::STREAM, None)?;
+    // A daemon that is started meanwhile must not inherit the connection.
+    let flags = SocketFlags::CLOEXEC;
+    let fd = socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
     // This also limits the time for connecting.
     set_socket_timeout(&fd, Timeout::Send, Some(WRITE_TIMEOUT))?;
     set_socket_send_buffer_size(&fd, SEND_BUFFER_BYTES)?;
