Limit the bytes of the jobs that a VM has accepted

What callers saw: a customer that submits jobs of legal size (1 MiB) one after the other, without waiting, whose tasks are declared short and run for long, ended `cardamomslipd` on a machine of 120 MB: "memory allocation of 1048448 bytes failed". All jobs of the VM were lost.

Cause: a job's payload is kept until its tasks have ended. Open jobs were limited by their tasks (1,000,000 and more) and by the expected wait, which follows from what callers declare, but not by their bytes.

Change: `limits.job_bytes`, an eighth of the machine's memory by default. A job beyond it is refused as `overloaded` (429, not run) at once.

--- a/crates/core/src/model/spec.rs
+++ b/crates/core/src/model/spec.rs
@@ -38,3 +38,17 @@
     /// Whether tasks may be started again.
     pub repeatability: Repeatability,
 }
+
+/// Bytes of the rows about a task while its job is open, beside what the caller sent.
+const TASK_ROW_BYTES: usize = 256;
+
+impl JobSpec {
+    /// Returns about how many bytes the job holds while it is open.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let tasks = self.tasks.iter();
+        tasks
+            .map(|task| task.kind.len() + task.payload.len() + TASK_ROW_BYTES)
+            .sum()
+    }
+}
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -131,6 +131,8 @@
     retention: Duration = Duration::from_secs(600),
     /// Limit on the ids that one request may take.
     max_id_batch: u32 = 1_000,
+    /// Limit on the bytes of all open jobs that this incarnation issued. A job beyond it is refused.
+    max_open_bytes: usize = 512 * 1024 * 1024,
     /// Limit on the tasks of one job.
     max_tasks: usize = 1_500,
     /// Limit on the requests that wait for one job.
--- a/crates/core/src/systems/jobs.rs
+++ b/crates/core/src/systems/jobs.rs
@@ -147,6 +147,9 @@
     if world.open_tasks + count > config.active_preset().max_open_tasks as usize {
         return Err(FailureReason::Overloaded);
     }
+    if world.open_bytes + spec.size() > world.policy.max_open_bytes {
+        return Err(FailureReason::Overloaded);
+    }
     let wait = world.issuer.expected_wait;
     if wait > Duration::from_millis(u64::from(config.active_preset().max_wait_ms)) {
         return Err(FailureReason::Overloaded);
@@ -187,6 +190,7 @@
     }
     world.counters.jobs_accepted += 1;
     world.open_tasks += job.tasks.len();
+    world.open_bytes += job.spec.size();
     world.jobs.insert(job);
     world.issuer.needs_slots = true;
     update_ready_index(world, id.counter);
@@ -334,6 +338,7 @@
     };
     world.ready.remove(counter);
     world.open_tasks -= job.tasks.len();
+    world.open_bytes -= job.spec.size();
     for caller in job.waiters {
         let outcome = outcome.clone();
         respond(
--- a/crates/core/src/world.rs
+++ b/crates/core/src/world.rs
@@ -118,6 +118,8 @@
     pub counters: Counters,
     /// Number of tasks of all open jobs, ended ones included.
     pub open_tasks: usize,
+    /// Bytes of all open jobs.
+    pub open_bytes: usize,
 }
 
 impl World {
@@ -149,6 +151,7 @@
             timers: TimerQueue::default(),
             counters: Counters::default(),
             open_tasks: 0,
+            open_bytes: 0,
         }
     }
 
--- a/crates/test/tests/floods/daemon.rs
+++ b/crates/test/tests/floods/daemon.rs
@@ -5,7 +5,7 @@
 use cardamomslip_test::flood::Machine;
 use cardamomslip_test::ports::{Reservation, reserve_addresses};
 use cardamomslip_test::{Customer, ExecutorConfig, ExecutorStandIn, PlatformStandIn};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Stdio};
@@ -103,6 +103,28 @@
         .expect("an answer");
     }
 
+    /// Submits jobs with this body one after the other, without waiting for their ends.
+    pub fn submit_each(&self, jobs: u32, job: &Value) {
+        let caller = Client::new(&self.callers.to_string(), &Customer::Karoo.token());
+        let response = caller.post("/v1/jobs", &json!({"count": jobs}), None);
+        let body = response.expect("a response").body;
+        for id in body["ids"].as_array().expect("ids") {
+            let id = id.as_str().expect("an id");
+            // The daemon may refuse the job, or have ended.
+            drop(caller.put(&format!("/v1/jobs/{id}"), job));
+        }
+    }
+
+    /// Waits until a request that needs no room on the executor is answered.
+    pub fn wait_answered(&self) {
+        let caller = Client::new(&self.callers.to_string(), &Customer::Karoo.token());
+        wait_until("an answer", || {
+            let response = caller.post("/v1/jobs", &json!({"count": 1}), None);
+            response.is_ok_and(|response| response.is_success())
+        })
+        .expect("an answer");
+    }
+
     /// Returns the id of the process.
     pub fn pid(&self) -> u32 {
         self.process.0.id()
--- a/crates/test/tests/floods/main.rs
+++ b/crates/test/tests/floods/main.rs
@@ -7,12 +7,15 @@
 
 use cardamomslip_test::flood::{Crowd, Machine, Script, Sources, Usage};
 use daemon::DaemonUnderTest;
+use serde_json::json;
 use std::sync::{Mutex, PoisonError};
 
 /// Number of clients of a crowd.
 const CLIENTS: u32 = 200;
 /// Size of the bodies, within the limit on bodies.
 const LEGAL_BODY_BYTES: usize = 1024 * 1024;
+/// Run time of tasks that don't end within a test, in milliseconds.
+const LONG_RUN_MS: u64 = 600_000;
 /// Number of descriptors that the daemon may open beside half of those of its machine.
 const OTHER_DESCRIPTORS: u64 = 16;
 /// A machine with fewer descriptors than a crowd has clients.
@@ -126,3 +129,24 @@
         ..Script::default()
     };
 }
+
+/// Jobs of legal size that are accepted one after the other and run for long: the payload of each was
+/// kept until its tasks had started.
+#[test]
+fn accepted_jobs_of_legal_size() {
+    let _guard = LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let machine = Machine::SMALLEST;
+    let mut daemon = DaemonUnderTest::start("accepted_jobs_of_legal_size", machine);
+    let before = Usage::read_settled(daemon.pid());
+    let payload = json!({"run_ms": LONG_RUN_MS, "pad": " ".repeat(LEGAL_BODY_BYTES - 200)});
+    let task = json!({"kind": "long", "run_ms": 1, "payload": payload});
+    daemon.submit_each(CLIENTS, &json!({"tasks": [task]}));
+    assert!(!daemon.has_exited(), "the daemon has ended");
+    let after = Usage::read_settled(daemon.pid());
+    eprintln!("{before:?}, then {after:?}");
+    assert!(!daemon.has_exited(), "the daemon has ended");
+    let max_kib = machine.memory_bytes / 1024;
+    assert!(after.peak_kib <= max_kib, "{} KiB", after.peak_kib);
+    daemon.wait_answered();
+    daemon.close();
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -120,7 +120,7 @@
                 weight: settings.weight,
                 seed: rand::random(),
             },
-            settings.policy(),
+            settings.policy(&machine),
             IdKey(rand::random()),
         );
         tracing::info!(incarnation = %me, %caller_address, %peer_address, "started");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,6 +25,10 @@
 const MAX_DEFAULT_INGRESS_BYTES: usize = 512 * 1024 * 1024;
 /// Largest default of [`Limits::connections`].
 const MAX_DEFAULT_CONNECTIONS: usize = 16 * 1024;
+/// The default of [`Limits::job_bytes`] is the memory of the machine divided by this.
+const MEMORY_PER_JOBS: usize = 8;
+/// Largest default of [`Limits::job_bytes`].
+const MAX_DEFAULT_JOB_BYTES: usize = 512 * 1024 * 1024;
 /// Callers may hold at most the memory of the machine divided by this.
 const MEMORY_PER_INGRESS: usize = 2;
 /// Valid values of [`Settings::weight`].
@@ -123,6 +127,10 @@
     /// By default half of the descriptors, and at most 16384 or as many as have receive buffers in a
     /// third of the memory.
     pub connections: Option<usize>,
+    /// Limit on the bytes of all jobs that this VM has accepted and not ended, at least 1048576; an
+    /// eighth of the memory by default, and at most 536870912. Raised to twice `body_bytes`. Beyond it
+    /// jobs are refused as `overloaded`.
+    pub job_bytes: Option<usize>,
     /// Limit on the tasks of a job; 1500 by default.
     pub tasks_per_job: usize,
     /// Limit on the ids that one request may ask for; 1000 by default.
@@ -143,6 +151,7 @@
             body_bytes: 4 * 1024 * 1024,
             ingress_bytes: None,
             connections: None,
+            job_bytes: None,
             tasks_per_job: 1_500,
             ids_per_batch: 1_000,
             waiting_callers: 10_000,
@@ -293,10 +302,10 @@
         Ok(())
     }
 
-    /// Returns the policy of the core with these settings; all other parameters have their
-    /// defaults.
+    /// Returns the policy of the core with these settings on a machine; all other parameters have
+    /// their defaults.
     #[must_use]
-    pub fn policy(&self) -> Policy {
+    pub fn policy(&self, machine: &Machine) -> Policy {
         let timing = &self.timing;
         PolicyBuilder::new()
             .heartbeat_interval(Duration::from_millis(timing.heartbeat_ms))
@@ -306,6 +315,7 @@
             .usage_interval(Duration::from_millis(timing.usage_interval_ms))
             .retention(Duration::from_millis(timing.retention_ms))
             .max_id_batch(self.limits.ids_per_batch)
+            .max_open_bytes(self.limits.job_bytes_on(machine))
             .max_tasks(self.limits.tasks_per_job)
             .max_waiters(self.limits.waiters_per_job)
             .build()
@@ -345,6 +355,14 @@
         bytes.max(bodies).max(min)
     }
 
+    fn job_bytes_on(&self, machine: &Machine) -> usize {
+        let bytes = self.job_bytes.unwrap_or_else(|| {
+            let memory = machine.memory_bytes().unwrap_or(usize::MAX);
+            (memory / MEMORY_PER_JOBS).min(MAX_DEFAULT_JOB_BYTES)
+        });
+        bytes.max(MIN_BODIES_AT_ONCE.saturating_mul(self.body_bytes))
+    }
+
     fn check_bytes(&self, bytes: usize, machine: &Machine) -> Result<(), Error> {
         let Some(memory) = machine.memory else {
             return Ok(());
@@ -381,6 +399,10 @@
             self.ingress_bytes.is_none_or(|bytes| bytes >= 1024 * 1024),
             "limits.ingress_bytes: must be at least 1048576",
         )?;
+        require(
+            self.job_bytes.is_none_or(|bytes| bytes >= 1024 * 1024),
+            "limits.job_bytes: must be at least 1048576",
+        )?;
         require(
             self.connections.is_none_or(|count| count >= 16),
             "limits.connections: must be at least 16",
