Split the system of cancellations: whom to ask, and whom to tell

Which peers are asked stands in cancel_targets.rs, and how others are told of marks in cancel_marks.rs. Functions were moved, not changed. The tests of cancellations pass.

--- a/crates/core/src/guarded/systems/cancels.rs
+++ b/crates/core/src/guarded/systems/cancels.rs
@@ -3,7 +3,9 @@
 //! The entry of a job and its runner know it. A VM that doesn't know a cancelled job asks the relays of
 //! its data centre, and then all VMs through one of them. See `docs/design/cancellation.md`.
 
-use super::{entry, runner, topology};
+use super::cancel_marks::{tell, tell_all_holders};
+use super::cancel_targets::{Targets, holders, targets};
+use super::{entry, runner};
 use crate::guarded::action::Action;
 use crate::guarded::model::answer::{Answer, RefusalCause};
 use crate::guarded::model::cancel::{
@@ -13,9 +15,8 @@
 use crate::guarded::model::message::Message;
 use crate::guarded::tables::cancel_marks::{Mark, RETENTION};
 use crate::guarded::tables::cancellation::{Asker, Cancellation, Stage};
-use crate::guarded::tables::peer::Peer;
 use crate::guarded::world::{Cx, World};
-use crate::model::ids::{CallId, DataCentreId};
+use crate::model::ids::CallId;
 use crate::model::incarnation::Incarnation;
 use crate::model::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,10 +24,6 @@
 
 /// Maximum number of rows of a message.
 const MAX_MESSAGE_ROWS: usize = 512;
-/// Maximum number of marks that a new peer is told of.
-const MAX_REPORTED_MARKS: usize = 1_024;
-/// Number of relays that pass a mark on, in case one is lost.
-const PASSED_ON_BY: usize = 2;
 /// Time after which a client is told that not all VMs could be asked. Clients allow 4 s, and a VM may
 /// read the request up to 1 s late.
 const CLIENT_LIMIT: Duration = Duration::from_millis(2_500);
@@ -55,13 +52,6 @@
     Unknown,
 }
 
-/// Peers to ask, and whether that leaves out a VM that may know the job.
-#[derive(Debug, Default)]
-struct Targets {
-    peers: BTreeSet<(Incarnation, CancelScope)>,
-    is_incomplete: bool,
-}
-
 /// Cancels a job for a client of this VM.
 pub fn request(world: &mut World, cx: &mut Cx<'_>, call: CallId, id: ClientJobId) {
     world.stats.cancels += 1;
@@ -167,27 +157,6 @@
     settle_all(world, cx);
 }
 
-/// Tells a peer that has just connected of the newest marks.
-pub fn report_to(world: &mut World, now: Time, to: Incarnation) {
-    let is_local = to.data_centre == world.me.data_centre;
-    let scope = if is_local {
-        CancelScope::Receiver
-    } else {
-        CancelScope::DataCentre
-    };
-    let newest = world.cancel_marks.newest_found().take(MAX_REPORTED_MARKS);
-    let newest = newest.map(|(job, mark)| CancelMark {
-        job,
-        scope,
-        age: now.since(mark.at),
-    });
-    let newest: Vec<CancelMark> = newest.collect();
-    if !newest.is_empty() {
-        let rows = world.cancel_outbox.marks.entry(to).or_default();
-        rows.extend(newest);
-    }
-}
-
 /// Ends the waits that have reached their limits, and begins the attempts that are due.
 pub fn run(world: &mut World, cx: &mut Cx<'_>) {
     if world.cancellations.len() == 0 {
@@ -375,147 +344,6 @@
     ask_waiting(world, job, row);
 }
 
-/// Returns the peers that a request with this scope is passed on to.
-fn targets(world: &World, now: Time, from: Option<Incarnation>, scope: CancelScope) -> Targets {
-    let mut targets = Targets {
-        peers: BTreeSet::new(),
-        is_incomplete: !world.directory.is_listed(),
-    };
-    let is_local = |data_centre: DataCentreId| data_centre == world.me.data_centre;
-    for (&peer, row) in &world.peers {
-        if row.linked && is_local(peer.data_centre) && Some(peer) != from {
-            targets.peers.insert((peer, CancelScope::Receiver));
-        }
-    }
-    targets.is_incomplete |= world.directory.iter().any(|entry| {
-        let row = world.peer_of_vm(entry.data_centre, entry.vm);
-        is_local(entry.data_centre)
-            && !row.is_some_and(|row| row.linked)
-            && topology::may_be_alive(world, now, entry)
-    });
-    if scope != CancelScope::System {
-        return targets;
-    }
-    let position = relay_position(world);
-    for (data_centre, relays) in remote_relays(world) {
-        if is_local(data_centre) {
-            continue;
-        }
-        targets.is_incomplete |= relays.is_empty();
-        for (i, &relay) in relays.iter().enumerate() {
-            // The relays of a data centre ask through different ones.
-            let scope = if i == position % relays.len() {
-                CancelScope::DataCentre
-            } else {
-                CancelScope::Receiver
-            };
-            targets.peers.insert((relay, scope));
-        }
-    }
-    targets
-}
-
-/// Returns the position of this VM among the relays of its data centre.
-fn relay_position(world: &World) -> usize {
-    let mut relays = world.topology.relays.iter();
-    relays.position(|&vm| vm == world.me.vm).unwrap_or_default()
-}
-
-/// Returns the connected relays of the other data centres, also of those without any.
-fn remote_relays(world: &World) -> BTreeMap<DataCentreId, Vec<Incarnation>> {
-    let mut by_data_centre: BTreeMap<DataCentreId, Vec<Incarnation>> = BTreeMap::new();
-    for entry in world.directory.iter() {
-        by_data_centre.entry(entry.data_centre).or_default();
-    }
-    for (&peer, row) in &world.peers {
-        if row.linked && row.is_relay() {
-            by_data_centre
-                .entry(peer.data_centre)
-                .or_default()
-                .push(peer);
-        }
-    }
-    by_data_centre.remove(&world.me.data_centre);
-    by_data_centre
-}
-
-/// Iterates over the connected VMs of a data centre that hold its workers or may do so next.
-fn holders(world: &World, data_centre: DataCentreId) -> impl Iterator<Item = Incarnation> {
-    let is_holder = move |peer: &Incarnation, row: &Peer| {
-        let follows = world.topology.followers.contains(&peer.vm);
-        row.linked && peer.data_centre == data_centre && (follows || row.is_relay())
-    };
-    let peers = world.peers.iter();
-    peers.filter_map(move |(peer, row)| is_holder(peer, row).then_some(*peer))
-}
-
-/// Tells the holders of all data centres of a job that was found and cancelled at this time.
-fn tell_all_holders(world: &mut World, now: Time, job: ClientJobId) {
-    if world.topology.is_relay {
-        tell(world, now, None, job, now, CancelScope::System);
-        return;
-    }
-    let peers: Vec<Incarnation> = holders(world, world.me.data_centre).collect();
-    let mut relays = 0;
-    for peer in peers {
-        let is_relay = world.peers.get(&peer).is_some_and(Peer::is_relay);
-        let scope = if is_relay && relays < PASSED_ON_BY {
-            relays += 1;
-            CancelScope::System
-        } else {
-            CancelScope::Receiver
-        };
-        push_mark(world, now, peer, job, now, scope);
-    }
-}
-
-/// Passes a mark on to the holders that its scope covers.
-fn tell(
-    world: &mut World,
-    now: Time,
-    from: Option<Incarnation>,
-    job: ClientJobId,
-    at: Time,
-    scope: CancelScope,
-) {
-    if scope == CancelScope::Receiver {
-        return;
-    }
-    let locals: Vec<Incarnation> = holders(world, world.me.data_centre).collect();
-    for peer in locals.into_iter().filter(|&peer| Some(peer) != from) {
-        push_mark(world, now, peer, job, at, CancelScope::Receiver);
-    }
-    if scope != CancelScope::System {
-        return;
-    }
-    let position = relay_position(world);
-    for relays in remote_relays(world).into_values() {
-        let count = relays.len();
-        for (i, relay) in relays.into_iter().enumerate() {
-            let passes_on = (i + count - position % count) % count < PASSED_ON_BY;
-            let scope = if passes_on {
-                CancelScope::DataCentre
-            } else {
-                CancelScope::Receiver
-            };
-            push_mark(world, now, relay, job, at, scope);
-        }
-    }
-}
-
-fn push_mark(
-    world: &mut World,
-    now: Time,
-    to: Incarnation,
-    job: ClientJobId,
-    at: Time,
-    scope: CancelScope,
-) {
-    let age = now.since(at);
-    let rows = world.cancel_outbox.marks.entry(to).or_default();
-    rows.push(CancelMark { job, scope, age });
-}
-
 fn ask(world: &mut World, job: ClientJobId, to: Incarnation, scope: CancelScope) {
     let rows = world.cancel_outbox.requests.entry(to).or_default();
     rows.push(CancelRequest { job, scope });
--- a/crates/core/src/guarded/systems/mod.rs
+++ b/crates/core/src/guarded/systems/mod.rs
@@ -5,6 +5,8 @@
 //! in the queues of the world, and does not call a system that runs before it. The exceptions are
 //! [`holds::begin_acquisition`] and [`crashes::record_loss`], which [`polls`] and [`stops`] call.
 
+pub mod cancel_marks;
+pub mod cancel_targets;
 pub mod cancels;
 pub mod cell_assignment;
 pub mod configuration;
--- a/crates/core/src/guarded/systems/peers.rs
+++ b/crates/core/src/guarded/systems/peers.rs
@@ -4,7 +4,8 @@
 //! been silent for its limit, or refuses connections.
 
 use super::{
-    cancels, drain_reports, entry, evacuations, heartbeats, runner, start_reports, suspect_reports,
+    cancel_marks, cancels, drain_reports, entry, evacuations, heartbeats, runner, start_reports,
+    suspect_reports,
 };
 use crate::guarded::action::Action;
 use crate::guarded::model::message::{Heartbeat, RemoteHolder};
@@ -31,7 +32,7 @@
     heartbeats::send(world, cx, &[peer]);
     suspect_reports::report_to(world, cx, peer);
     start_reports::report_to(world, cx, peer);
-    cancels::report_to(world, cx.now, peer);
+    cancel_marks::report_to(world, cx.now, peer);
     drain_reports::report_to(world, cx, peer);
 }
 
