--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 use crate::operators::{NodeMetrics, OperatorApi};
 use crate::peers::{PeerConfig, PeerHub};
 use crate::platform::{PlatformAdapter, PlatformClient};
-use crate::settings::{Limits, Settings};
+use crate::settings::Settings;
 use cardamomslip_core::collections::set_hash_key;
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::job_id::IdKey;
@@ -100,7 +100,7 @@
         let _ = set_hash_key(rand::random());
         let machine = Machine::detect();
         let ingress = settings.limits.ingress(&machine)?;
-        log_limits(&settings.limits, &ingress, &machine);
+        ingress.log(&machine, settings.limits.named());
         let me = new_incarnation(&settings);
         let (tx, rx) = mpsc::channel();
         let tx = InputSender::new(tx);
@@ -186,20 +186,6 @@
         .clamp(MIN_BLOCKING_THREADS, MAX_BLOCKING_THREADS)
 }
 
-/// Logs the limits on callers, and what they follow from.
-fn log_limits(settings: &Limits, limits: &IngressLimits, machine: &Machine) {
-    let source = |is_set| if is_set { "settings" } else { "machine" };
-    tracing::info!(
-        memory = machine.memory.map(tracing::field::display),
-        descriptors = machine.descriptors,
-        ingress_bytes = limits.bytes,
-        ingress_bytes_from = source(settings.ingress_bytes.is_some()),
-        connections = limits.connections,
-        connections_from = source(settings.connections.is_some()),
-        "limits on callers"
-    );
-}
-
 fn new_incarnation(settings: &Settings) -> Incarnation {
     Incarnation {
         data_centre: data_centre_id(&settings.data_centre),
--- a/src/http/ingress_limits.rs
+++ b/src/http/ingress_limits.rs
@@ -40,6 +40,15 @@
     pub idle_timeout: Duration,
 }
 
+/// Limits that the settings name. The others follow from the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedLimits {
+    /// Whether they name [`IngressLimits::bytes`].
+    pub bytes: bool,
+    /// Whether they name [`IngressLimits::connections`].
+    pub connections: bool,
+}
+
 impl Default for IngressLimits {
     /// Limits for a machine of which nothing is known.
     fn default() -> Self {
@@ -85,6 +94,20 @@
         }
     }
 
+    /// Logs the limits, what they follow from, and which of them the settings name.
+    pub fn log(&self, machine: &Machine, named: NamedLimits) {
+        let source = |is_named| if is_named { "settings" } else { "machine" };
+        tracing::info!(
+            memory = machine.memory.map(tracing::field::display),
+            descriptors = machine.descriptors,
+            ingress_bytes = self.bytes,
+            ingress_bytes_from = source(named.bytes),
+            connections = self.connections,
+            connections_from = source(named.connections),
+            "limits on clients"
+        );
+    }
+
     /// Splits off a part of the bytes and the connections for another server of the process. Returns the
     /// rest and the part, which is one of `parts` equal ones.
     #[must_use]
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,7 +17,7 @@
 pub use exchange::{Exchange, Reply};
 pub use ingress::{Ingress, NoRoom};
 pub use ingress_budget::{Candidate, Decision, Demand, Rank, Stage, decide};
-pub use ingress_limits::IngressLimits;
+pub use ingress_limits::{IngressLimits, NamedLimits};
 pub use ingress_table::{CloseReason, IngressStats, IngressTable};
 pub use pool::{Connection, OpenedConnections, Pool, PoolError, PooledResponse};
 pub use read_horizon::ReadHorizon;
