Raise the limit on descriptors to what the system grants

What callers would see: with the usual soft limit of 1,024 descriptors, half of them are for callers since their number follows from it: 512 connections, where about 1,000 were possible before.

Change: `cardamomslipd` raises its soft limit to the hard one at start, as servers do, before it derives the number of connections.

Evidence: with `ulimit -S -n 100` and a hard limit of 20,000, `--check` shows 50 connections before and 10,000 after (one run each).

--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Command line and main function of the entry daemon.
 
 use crate::logging;
-use cardamomslip::machine::Machine;
+use cardamomslip::machine::{Machine, raise_descriptor_limit};
 use cardamomslip::{Daemon, Settings, StopHandle};
 use eyre::{Result, bail};
 use getopts::Options;
@@ -28,6 +28,7 @@
         return Ok(());
     };
     let settings = Settings::load(&args.config)?;
+    raise_descriptor_limit();
     if args.check {
         let limits = settings.limits.ingress(&Machine::detect())?;
         println!("{}: valid", args.config.display());
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -6,7 +6,7 @@
 
 pub use memory_limit::{MemoryLimit, MemorySource};
 
-use rustix::process::{Resource, getrlimit};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use std::path::Path;
 
 /// Resources that this process may use.
@@ -35,3 +35,15 @@
         self.memory.map(|memory| memory.bytes)
     }
 }
+
+/// Raises the limit on open descriptors to the highest that the system grants this process.
+pub fn raise_descriptor_limit() {
+    let limit = getrlimit(Resource::Nofile);
+    let raised = Rlimit {
+        current: limit.maximum,
+        ..limit
+    };
+    if let Err(e) = setrlimit(Resource::Nofile, raised) {
+        tracing::warn!(error = %e, "the limit on descriptors can't be raised");
+    }
+}
