Settings and metrics for the limits on clients that lacked them

What operators saw: the limits on handshakes, on searches for cancelled jobs and on threads for blocking calls could not be set; nothing showed how many strangers are at the peers' listener, how often the wait of a client was cut, or how many bytes accepted jobs hold. `cardamomslipd` showed nothing of what its callers hold.

Cause: they were added as constants, and the ingress metrics belonged to the platform's daemon only.

Not shown: accept queues have neither a setting of their own nor a metric.

--- a/crates/core/src/guarded/policy.rs
+++ b/crates/core/src/guarded/policy.rs
@@ -53,6 +53,9 @@
     pub claim_delay_peers_known: Duration,
     /// What the expected waits of jobs are derived from.
     pub forecast: ForecastMode,
+    /// Number of times a second that clients may make this VM ask all others for a job, at least 1.
+    /// Twice as many may come at once.
+    pub lookups_per_second: u32,
 }
 
 impl Default for Policy {
@@ -74,6 +77,7 @@
             claim_delay: Duration::from_millis(600),
             claim_delay_peers_known: Duration::from_millis(200),
             forecast: ForecastMode::Sum,
+            lookups_per_second: 512,
         }
     }
 }
--- a/crates/core/src/guarded/world.rs
+++ b/crates/core/src/guarded/world.rs
@@ -192,11 +192,8 @@
     pub last_broadcast_at: Time,
 }
 
-/// Number of times a second that clients may make this VM ask all others for a job. More than the
-/// cancellations of a whole deployment.
-const LOOKUPS_PER_SECOND: u32 = 512;
-/// Number of times that they may do so at once.
-const LOOKUP_BURST: u32 = 1_024;
+/// Seconds' worth of searches for jobs that may begin at once.
+const LOOKUP_BURST_SECONDS: u32 = 2;
 /// Mean run time assumed before the first observation, in milliseconds.
 const DEFAULT_MEAN_RUN_MS: f64 = 200.0;
 /// Number of low bits of a fencing token that identify the VM.
@@ -246,7 +243,10 @@
             recent: RecentOutcomes::default(),
             cancel_marks: CancelMarks::default(),
             cancellations: Cancellations::default(),
-            lookup_limit: TokenBucket::new(LOOKUPS_PER_SECOND, LOOKUP_BURST),
+            lookup_limit: TokenBucket::new(
+                policy.lookups_per_second,
+                policy.lookups_per_second * LOOKUP_BURST_SECONDS,
+            ),
             cancel_outbox: CancelOutbox::default(),
             starts_in_flight: StartsInFlight::default(),
             start_reports: Vec::new(),
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -147,6 +147,7 @@
             peers: world.members.connected(),
             slot_owner: systems::membership::slot_owner(world, now),
             open_jobs: world.jobs.open_len(),
+            open_bytes: world.open_bytes,
             waiting_tasks: world.jobs.iter_open().map(|job| job.queue.len()).sum(),
             running_attempts: world.attempts.len(),
             kept_outcomes: world.jobs.closed_len(),
--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -60,6 +60,8 @@
     pub slot_owner: Option<Incarnation>,
     /// Number of open jobs.
     pub open_jobs: usize,
+    /// Bytes of the open jobs.
+    pub open_bytes: usize,
     /// Number of tasks that wait for a slot.
     pub waiting_tasks: usize,
     /// Number of attempts without a result yet.
--- a/crates/test/tests/floods/daemon.rs
+++ b/crates/test/tests/floods/daemon.rs
@@ -10,11 +10,19 @@
 use std::path::PathBuf;
 use std::process::{Child, Stdio};
 
+/// A listener of the daemon.
+#[derive(Clone, Copy, Debug)]
+pub enum Listener {
+    /// Callers, health checks and metrics.
+    Callers,
+    Peers,
+}
+
 /// A running daemon, the platform and an executor.
 #[derive(Debug)]
 pub struct DaemonUnderTest {
-    /// Address for callers.
-    pub callers: SocketAddr,
+    callers: SocketAddr,
+    peers: SocketAddr,
     process: DaemonProcess,
     platform: PlatformStandIn,
     executor: ExecutorStandIn,
@@ -73,6 +81,7 @@
             .expect("a daemon");
         let daemon = Self {
             callers,
+            peers,
             process: DaemonProcess(child),
             platform,
             executor,
@@ -125,6 +134,29 @@
         .expect("an answer");
     }
 
+    /// Waits until a metric is above 0.
+    pub fn wait_above_zero(&self, name: &str) {
+        let anyone = Client::new(&self.callers.to_string(), "");
+        wait_until(name, || {
+            let Ok(response) = anyone.get("/metrics") else {
+                return false;
+            };
+            let text = response.body.as_str().unwrap_or_default();
+            let mut lines = text.lines();
+            let value = lines.find_map(|line| line.strip_prefix(&format!("{name} ")));
+            value.is_some_and(|value| value.parse::<f64>().is_ok_and(|value| value > 0.0))
+        })
+        .expect("a metric");
+    }
+
+    /// Returns the address of a listener.
+    pub const fn address(&self, listener: Listener) -> SocketAddr {
+        match listener {
+            Listener::Callers => self.callers,
+            Listener::Peers => self.peers,
+        }
+    }
+
     /// Returns the id of the process.
     pub fn pid(&self) -> u32 {
         self.process.0.id()
--- a/crates/test/tests/floods/main.rs
+++ b/crates/test/tests/floods/main.rs
@@ -6,8 +6,8 @@
 mod daemon;
 
 use cardamomslip_test::flood::{Crowd, Machine, Script, Sources, Usage};
-use daemon::DaemonUnderTest;
-use serde_json::json;
+use daemon::{DaemonUnderTest, Listener};
+use serde_json::{Value, json};
 use std::sync::{Mutex, PoisonError};
 
 /// Number of clients of a crowd.
@@ -35,11 +35,11 @@
 
 /// Sends a crowd to a daemon, and checks that it stays within its machine and answers an ordinary
 /// request while the crowd's connections stay open.
-fn flood(name: &str, machine: Machine, script: impl Fn(u64) -> Script + Sync) {
+fn flood(name: &str, listener: Listener, machine: Machine, script: impl Fn(u64) -> Script + Sync) {
     let _guard = LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let mut daemon = DaemonUnderTest::start(name, machine);
     let before = Usage::read_settled(daemon.pid());
-    let crowd = Crowd::send(daemon.callers, CLIENTS, Sources::Shared, script);
+    let crowd = Crowd::send(daemon.address(listener), CLIENTS, Sources::Shared, script);
     assert!(!daemon.has_exited(), "the daemon has ended");
     let after = Usage::read_settled(daemon.pid());
     eprintln!("{before:?}, then {after:?}");
@@ -56,11 +56,11 @@
 
 /// Defines a test for each script, which the clients of a crowd send to a daemon on a machine.
 macro_rules! floods {
-    ($($(#[$doc:meta])* $name:ident($machine:expr) => $script:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident($listener:ident, $machine:expr) => $script:expr;)*) => {
         $($(#[$doc])*
         #[test]
         fn $name() {
-            flood(stringify!($name), $machine, $script);
+            flood(stringify!($name), Listener::$listener, $machine, $script);
         })*
     };
 }
@@ -92,6 +92,14 @@
     }
 }
 
+/// Returns a head that stops short within all limits.
+fn short_head() -> Script {
+    Script {
+        opening: b"GET / HTTP/1.1\r\nHost: entry\r\nX-Short: ".to_vec(),
+        ..Script::default()
+    }
+}
+
 /// Returns a head or empty lines without end, in pieces of 16 KiB.
 fn endless_head(opening: &[u8], piece: &[u8]) -> Script {
     Script {
@@ -103,28 +111,28 @@
 
 floods! {
     /// Bodies of legal size that stop one byte short of their end: each was kept for 20 s.
-    legal_bodies_that_stop_short(Machine::SMALLEST) => |_| legal_body(1);
+    legal_bodies_that_stop_short(Callers, Machine::SMALLEST) => |_| legal_body(1);
 
     /// Bodies of legal size, which the daemon reads whole before it looks at their token.
-    legal_bodies_sent_whole(Machine::SMALLEST) => |_| legal_body(0);
+    legal_bodies_sent_whole(Callers, Machine::SMALLEST) => |_| legal_body(0);
 
     /// Bodies that are not announced and stop short of the limit.
-    chunked_bodies_that_stop_short(Machine::SMALLEST) => |_| chunked_body(16);
+    chunked_bodies_that_stop_short(Callers, Machine::SMALLEST) => |_| chunked_body(16);
 
     /// Bodies that are not announced, far over the limit.
-    chunked_bodies_over_the_limit(Machine::SMALLEST) => |_| chunked_body(96);
+    chunked_bodies_over_the_limit(Callers, Machine::SMALLEST) => |_| chunked_body(96);
 
     /// Heads without end.
-    heads_without_end(Machine::SMALLEST) => |_| endless_head(b"GET / HTTP/1.1\r\nX-Long: ", b"a");
+    heads_without_end(Callers, Machine::SMALLEST) => |_| endless_head(b"GET / HTTP/1.1\r\nX-Long: ", b"a");
 
     /// Empty lines before a request, without end.
-    empty_lines_without_end(Machine::SMALLEST) => |_| endless_head(b"", b"\r\n");
+    empty_lines_without_end(Callers, Machine::SMALLEST) => |_| endless_head(b"", b"\r\n");
 
     /// More connections than the process may have descriptors.
-    idle_connections(FEW_DESCRIPTORS) => |_| Script::default();
+    idle_connections(Callers, FEW_DESCRIPTORS) => |_| Script::default();
 
     /// Requests that are served on threads of their own, without a token, whose answers are not read.
-    requests_for_metrics(HALF_OF_SMALLEST) => |_| Script {
+    requests_for_metrics(Callers, HALF_OF_SMALLEST) => |_| Script {
         opening: b"GET /metrics HTTP/1.1\r\nHost: entry\r\n\r\n".repeat(200),
         ..Script::default()
     };
@@ -138,9 +146,7 @@
     let machine = Machine::SMALLEST;
     let mut daemon = DaemonUnderTest::start("accepted_jobs_of_legal_size", machine);
     let before = Usage::read_settled(daemon.pid());
-    let payload = json!({"run_ms": LONG_RUN_MS, "pad": " ".repeat(LEGAL_BODY_BYTES - 200)});
-    let task = json!({"kind": "long", "run_ms": 1, "payload": payload});
-    daemon.submit_each(CLIENTS, &json!({"tasks": [task]}));
+    daemon.submit_each(CLIENTS, &long_job());
     assert!(!daemon.has_exited(), "the daemon has ended");
     let after = Usage::read_settled(daemon.pid());
     eprintln!("{before:?}, then {after:?}");
@@ -150,3 +156,37 @@
     daemon.wait_answered();
     daemon.close();
 }
+
+/// What is limited is seen in the metrics.
+#[test]
+fn limits_are_seen_in_the_metrics() {
+    let _guard = LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let daemon = DaemonUnderTest::start("limits_are_seen_in_the_metrics", Machine::SMALLEST);
+    let crowds = [Listener::Callers, Listener::Peers].map(|listener| {
+        let address = daemon.address(listener);
+        Crowd::send(address, CLIENTS, Sources::Shared, |_| short_head())
+    });
+    daemon.submit_each(1, &long_job());
+    for name in [
+        "cardamomslip_ingress_connections{listener=\"callers\"}",
+        "cardamomslip_ingress_bytes{listener=\"callers\"}",
+        "cardamomslip_open_job_bytes",
+        "cardamomslip_peer_handshakes",
+        "cardamomslip_peer_handshakes_displaced_total",
+        "cardamomslip_peer_handshakes_rejected_total",
+        "cardamomslip_blocking_calls",
+    ] {
+        daemon.wait_above_zero(name);
+    }
+    for crowd in crowds {
+        crowd.close();
+    }
+    daemon.close();
+}
+
+/// Returns a job of legal size that is declared short and runs for longer than a test.
+fn long_job() -> Value {
+    let payload = json!({"run_ms": LONG_RUN_MS, "pad": " ".repeat(LEGAL_BODY_BYTES - 200)});
+    let task = json!({"kind": "long", "run_ms": 1, "payload": payload});
+    json!({"tasks": [task]})
+}
--- a/src/callers/service.rs
+++ b/src/callers/service.rs
@@ -4,6 +4,7 @@
 use super::body::{BodyError, IdsBody, JobBody, MAX_KEY_LEN, UnkeyedBody};
 use super::problem::Problem;
 use super::responder::Responder;
+use crate::blocking_pool::BlockingPool;
 use crate::http::{Exchange, Reply};
 use crate::input::{Input, InputSender};
 use crate::operators::OperatorApi;
@@ -16,7 +17,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::runtime::Handle;
 
 /// Path prefix of the operators' resources.
 const OPERATOR_PREFIX: &str = "/v1/operator/";
@@ -32,7 +32,7 @@
     auth: AuthTable,
     tx: InputSender,
     operators: OperatorApi,
-    runtime: Handle,
+    blocking: BlockingPool,
     ready: Arc<AtomicBool>,
     waiting: Arc<AtomicUsize>,
 }
@@ -46,7 +46,7 @@
         auth: AuthTable,
         tx: InputSender,
         operators: OperatorApi,
-        runtime: Handle,
+        blocking: BlockingPool,
         ready: Arc<AtomicBool>,
     ) -> Self {
         Self {
@@ -54,7 +54,7 @@
             auth,
             tx,
             operators,
-            runtime,
+            blocking,
             ready,
             waiting: Arc::default(),
         }
@@ -68,7 +68,7 @@
             "/metrics" => {
                 let operators = self.operators.clone();
                 let render = move || exchange.respond(Reply::text(200, operators.render_metrics()));
-                self.runtime.spawn_blocking(render);
+                self.blocking.spawn(render);
             }
             _ => self.serve_authenticated(exchange),
         }
@@ -115,8 +115,8 @@
             return;
         }
         let operators = self.operators.clone();
-        self.runtime
-            .spawn_blocking(move || operators.serve(responder, OPERATOR_PREFIX, &name));
+        self.blocking
+            .spawn(move || operators.serve(responder, OPERATOR_PREFIX, &name));
     }
 
     fn parse_request(&self, customer: CustomerId, exchange: &Exchange) -> Result<Request, Problem> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: starts and stops the node's actor, the servers and the watches.
 
+use crate::blocking_pool::BlockingPool;
 use crate::callers::{AuthTable, CallerService};
 use crate::error::{Error, ErrorKind};
 use crate::executors::HttpExecutors;
@@ -8,10 +9,10 @@
 use crate::machine::Machine;
 use crate::names::{data_centre_id, vm_id};
 use crate::node_actor::{Environment, NodeActor};
-use crate::operators::{NodeMetrics, OperatorApi};
+use crate::operators::{MetricSources, NodeMetrics, OperatorApi};
 use crate::peers::{PeerConfig, PeerHub};
 use crate::platform::{PlatformAdapter, PlatformClient};
-use crate::settings::Settings;
+use crate::settings::{Settings, THREAD_STACK_BYTES};
 use cardamomslip_core::collections::set_hash_key;
 use cardamomslip_core::model::incarnation::Incarnation;
 use cardamomslip_core::model::job_id::IdKey;
@@ -27,16 +28,6 @@
 
 /// Number of async threads, which serve the connections of callers and peers.
 const WORKER_THREADS: usize = 2;
-/// Maximum number of threads for blocking calls: platform calls, operators' requests and the
-/// encoding of responses.
-const MAX_BLOCKING_THREADS: usize = 2_048;
-/// Number of these threads on the smallest machine.
-const MIN_BLOCKING_THREADS: usize = 16;
-/// The stacks of these threads may take the memory of the machine divided by this. Each uses a small
-/// part of its stack.
-const MEMORY_PER_STACKS: usize = 4;
-/// Stack size of the runtime's threads, in bytes.
-const THREAD_STACK_BYTES: usize = 256 * 1024;
 /// Maximum wait for an input before the loop checks for shutdown.
 const MAX_INPUT_WAIT: Duration = Duration::from_millis(250);
 /// Maximum number of further inputs that are passed to the actor before it runs.
@@ -106,7 +97,7 @@
         let tx = InputSender::new(tx);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(WORKER_THREADS)
-            .max_blocking_threads(max_blocking_threads(&machine))
+            .max_blocking_threads(settings.limits.blocking_threads_on(&machine))
             .thread_stack_size(THREAD_STACK_BYTES)
             .enable_all()
             .build()
@@ -176,16 +167,6 @@
     }
 }
 
-/// Returns the number of threads for blocking calls on a machine. Calls beyond it wait.
-fn max_blocking_threads(machine: &Machine) -> usize {
-    let by_memory = machine
-        .memory_bytes()
-        .map(|bytes| bytes / MEMORY_PER_STACKS / THREAD_STACK_BYTES);
-    by_memory
-        .unwrap_or(MAX_BLOCKING_THREADS)
-        .clamp(MIN_BLOCKING_THREADS, MAX_BLOCKING_THREADS)
-}
-
 fn new_incarnation(settings: &Settings) -> Incarnation {
     Incarnation {
         data_centre: data_centre_id(&settings.data_centre),
@@ -216,22 +197,29 @@
         let platform =
             PlatformAdapter::new(PlatformClient::new(settings.platform, connect_timeout));
         let metrics = NodeMetrics::default();
-        let operators = OperatorApi::new(tx.clone(), platform.clone(), metrics.clone());
+        let peers = start_peers(settings, &ingress, me, tx, runtime)?;
+        let blocking = BlockingPool::new(runtime.handle().clone());
+        let ingress = Ingress::new(ingress);
+        let sources = MetricSources {
+            ingress: ingress.clone(),
+            peers: peers.clone(),
+            blocking: blocking.clone(),
+        };
+        let operators = OperatorApi::new(tx.clone(), platform.clone(), metrics.clone(), sources);
         let auth = AuthTable::new(&settings.operators);
         let ready = Arc::new(AtomicBool::new(false));
-        let peers = start_peers(settings, &ingress, me, tx, runtime)?;
         let service = CallerService::new(
             settings.limits,
             auth.clone(),
             tx.clone(),
             operators.clone(),
-            runtime.handle().clone(),
+            blocking.clone(),
             Arc::clone(&ready),
         );
         let http = HttpConfig {
             listen: settings.listen.callers,
             body_bytes: settings.limits.body_bytes,
-            ingress: Ingress::new(ingress),
+            ingress,
         };
         let serve = move |exchange| service.serve(exchange);
         let server = HttpServer::start(http, runtime.handle(), serve)?;
@@ -246,6 +234,7 @@
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
             runtime: runtime.handle().clone(),
+            blocking,
             tx: tx.clone(),
             executors: HttpExecutors::new(me, idle_timeout, connect_timeout),
             platform,
@@ -276,7 +265,10 @@
     let secret = settings.peer_secret.clone();
     let seeds = settings.peers.clone();
     let config = PeerConfig {
-        max_handshakes: ingress.handshakes(),
+        max_handshakes: settings
+            .limits
+            .handshakes
+            .unwrap_or_else(|| ingress.handshakes()),
         ..PeerConfig::new(me, secret, peer_timeout, settings.listen.peers, seeds)
     };
     PeerHub::start(config, runtime.handle(), tx.clone())
--- a/src/guarded/metrics.rs
+++ b/src/guarded/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of the dispatcher.
 
-use crate::http::{IngressStats, OpenedConnections};
+use crate::http::{IngressStats, OpenedConnections, record_ingress};
+use crate::peers::HandshakeStats;
 use cardamomslip_core::guarded::model::answer::Answer;
 use cardamomslip_core::guarded::{QueueShare, Stats, WaitObservation};
 use metrics::{counter, gauge, histogram, with_local_recorder};
@@ -189,32 +190,19 @@
     }
 
     /// Sets what the clients of a listener hold, and how many were closed or refused.
-    #[allow(clippy::cast_precision_loss, reason = "the limits are far below 2^52")]
     pub fn record_ingress(&self, listener: &'static str, stats: &IngressStats) {
-        let refused = [
-            ("connections", stats.refused_connections),
-            ("bytes", stats.refused_requests),
-        ];
-        let closed = [
-            ("connections", stats.closed_for_connections),
-            ("bytes", stats.closed_for_bytes),
-            ("head_timeout", stats.closed_by_head_timeout),
-            ("idle_timeout", stats.closed_by_idle_timeout),
-        ];
+        with_local_recorder(&*self.recorder, || record_ingress(listener, stats));
+    }
+
+    /// Sets the numbers of connections that haven't proved to come from a peer.
+    pub fn record_handshakes(&self, stats: &HandshakeStats) {
+        with_local_recorder(&*self.recorder, || stats.record());
+    }
+
+    /// Sets how often the time that a client asked to be waited for was cut.
+    pub fn record_waits_cut(&self, count: u64) {
         with_local_recorder(&*self.recorder, || {
-            gauge!("cardamomslip_ingress_connections", "listener" => listener)
-                .set(stats.connections as f64);
-            gauge!("cardamomslip_ingress_bytes", "listener" => listener).set(stats.bytes as f64);
-            for (reason, count) in refused {
-                counter!("cardamomslip_ingress_refused_total",
-                    "listener" => listener, "reason" => reason)
-                .absolute(count);
-            }
-            for (reason, count) in closed {
-                counter!("cardamomslip_ingress_closed_total",
-                    "listener" => listener, "reason" => reason)
-                .absolute(count);
-            }
+            counter!("cardamomslip_waits_cut_total").absolute(count);
         });
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 //!   secret.
 
 mod accept_failures;
+mod blocking_pool;
 pub mod callers;
 pub mod config_wire;
 pub mod daemon;
@@ -44,6 +45,7 @@
 pub mod settings;
 pub mod time_limit;
 
+pub use blocking_pool::BlockingPool;
 pub use daemon::{Daemon, StopHandle};
 pub use error::{Error, ErrorKind};
 pub use settings::Settings;
--- a/src/node_actor.rs
+++ b/src/node_actor.rs
@@ -1,5 +1,6 @@
 //! The actor that runs the core's node.
 
+use crate::blocking_pool::BlockingPool;
 use crate::callers::{AuthTable, Responder};
 use crate::config_wire::ConfigurationWire;
 use crate::executors::ExecutorClient;
@@ -35,8 +36,10 @@
     pub name: String,
     /// Name of the data centre, from the settings.
     pub data_centre: String,
-    /// Runtime for asynchronous and blocking calls.
+    /// Runtime for asynchronous calls.
     pub runtime: Handle,
+    /// Threads for blocking calls.
+    pub blocking: BlockingPool,
     /// Sender of inputs to this actor, for the results of calls.
     pub tx: InputSender,
     /// Client of the executors.
@@ -204,8 +207,8 @@
             .metrics
             .record_response(now.duration_since(pending.received_at));
         self.env
-            .runtime
-            .spawn_blocking(move || pending.responder.respond(&response));
+            .blocking
+            .spawn(move || pending.responder.respond(&response));
     }
 
     fn respond_change_result(&mut self, call: CallId, result: ChangeResult) {
@@ -233,7 +236,7 @@
     fn perform_store_op(&self, op: StoreOpId, req: StoreOp) {
         let (platform, tx) = (self.env.platform.clone(), self.env.tx.clone());
         let config = self.config.clone();
-        self.env.runtime.spawn_blocking(move || {
+        self.env.blocking.spawn(move || {
             let reply = platform.perform(&req, config.as_deref());
             tx.send_event(Event::Store { op, reply });
         });
@@ -260,8 +263,8 @@
     fn write_audit(&self, config: &Arc<Configuration>) {
         let (platform, config) = (self.env.platform.clone(), Arc::clone(config));
         self.env
-            .runtime
-            .spawn_blocking(move || platform.write_audit(&config));
+            .blocking
+            .spawn(move || platform.write_audit(&config));
     }
 
     fn adopt_vm_list(&self, list: Arc<VmList>) {
--- a/src/operators/api.rs
+++ b/src/operators/api.rs
@@ -13,6 +13,7 @@
 //! `base` is the version that the change is based on, 0 if there is no configuration yet; `why` is
 //! the reason for the audit trail and must not be empty; `vm` is the name of an entry VM.
 
+use super::metric_sources::MetricSources;
 use super::metrics::NodeMetrics;
 use super::status::StatusReport;
 use crate::callers::{Problem, Responder};
@@ -78,17 +79,24 @@
     platform: PlatformAdapter,
     config: Arc<RwLock<Option<Arc<Configuration>>>>,
     metrics: NodeMetrics,
+    sources: MetricSources,
 }
 
 impl OperatorApi {
     /// Creates the API without a configuration.
     #[must_use]
-    pub fn new(tx: InputSender, platform: PlatformAdapter, metrics: NodeMetrics) -> Self {
+    pub fn new(
+        tx: InputSender,
+        platform: PlatformAdapter,
+        metrics: NodeMetrics,
+        sources: MetricSources,
+    ) -> Self {
         Self {
             tx,
             platform,
             config: Arc::default(),
             metrics,
+            sources,
         }
     }
 
@@ -110,6 +118,7 @@
     pub fn render_metrics(&self) -> String {
         // The node updates its metrics whenever it reports its status.
         drop(self.query_status());
+        self.metrics.record_sources(&self.sources);
         self.metrics.render()
     }
 
--- a/src/operators/metrics.rs
+++ b/src/operators/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of one node.
 
+use super::metric_sources::MetricSources;
+use crate::http::record_ingress;
 use cardamomslip_core::Status;
 use metrics::{counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
@@ -58,6 +60,7 @@
             counter!("cardamomslip_forwards_total").absolute(counters.forwards);
             counter!("cardamomslip_ejections_total").absolute(counters.ejections);
             gauge!("cardamomslip_open_jobs").set(status.open_jobs as f64);
+            gauge!("cardamomslip_open_job_bytes").set(status.open_bytes as f64);
             gauge!("cardamomslip_waiting_tasks").set(status.waiting_tasks as f64);
             gauge!("cardamomslip_running_attempts").set(status.running_attempts as f64);
             gauge!("cardamomslip_peers").set(status.peers.len() as f64);
@@ -68,6 +71,19 @@
         });
     }
 
+    /// Updates the metrics that are read from other parts of the daemon.
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "gauges are floating-point numbers"
+    )]
+    pub fn record_sources(&self, sources: &MetricSources) {
+        with_local_recorder(&*self.recorder, || {
+            record_ingress("callers", &sources.ingress.stats());
+            sources.peers.handshake_stats().record();
+            gauge!("cardamomslip_blocking_calls").set(sources.blocking.calls() as f64);
+        });
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/src/peers/handshake_table.rs
+++ b/src/peers/handshake_table.rs
@@ -34,6 +34,7 @@
     limit: usize,
     rows: Vec<Handshake<C>>,
     next_number: u64,
+    displaced: u64,
 }
 
 impl<C> HandshakeTable<C> {
@@ -44,6 +45,7 @@
             limit: limit.max(1),
             rows: Vec::new(),
             next_number: 0,
+            displaced: 0,
         }
     }
 
@@ -89,7 +91,27 @@
     /// Returns what closes a connection. It counts until its handshake has ended.
     pub fn close(&mut self, number: u64) -> Option<C> {
         let mut rows = self.rows.iter_mut();
-        rows.find(|row| row.number == number)?.closer.take()
+        let closer = rows.find(|row| row.number == number)?.closer.take()?;
+        self.displaced += 1;
+        Some(closer)
+    }
+
+    /// Returns the number of connections.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether there are no connections.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns the number of connections that were closed in favour of others.
+    #[must_use]
+    pub const fn displaced(&self) -> u64 {
+        self.displaced
     }
 
     /// Removes a connection whose handshake has ended.
--- a/src/peers/handshakes.rs
+++ b/src/peers/handshakes.rs
@@ -1,5 +1,6 @@
 //! Limit on the connections that haven't proved to come from a peer.
 
+use super::handshake_stats::HandshakeStats;
 use super::handshake_table::{HandshakeDecision, HandshakeTable};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -39,6 +40,16 @@
         }))
     }
 
+    /// Returns the numbers of connections, without those that were rejected.
+    pub fn stats(&self) -> HandshakeStats {
+        let table = self.lock();
+        HandshakeStats {
+            open: table.len(),
+            displaced: table.displaced(),
+            rejected: 0,
+        }
+    }
+
     /// Waits until there is room for a connection of a client. Returns its permit, and what resolves to
     /// a value if the connection has to be closed.
     pub async fn admit(&self, client: IpAddr) -> (HandshakePermit, oneshot::Receiver<()>) {
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -1,5 +1,6 @@
 //! Handle to all connections to peers.
 
+use super::handshake_stats::HandshakeStats;
 use super::handshakes::Handshakes;
 use super::hub_event::{HubEvent, HubSender, PeerAddress};
 use super::hub_state::HubState;
@@ -13,7 +14,7 @@
 use cardamomslip_core::model::incarnation::Incarnation;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 
@@ -30,6 +31,8 @@
     tx: HubSender<M>,
     address: SocketAddr,
     runtime: Handle,
+    handshakes: Handshakes,
+    rejections: Rejections,
 }
 
 impl<M> Clone for PeerHub<M> {
@@ -38,6 +41,8 @@
             tx: self.tx.clone(),
             address: self.address,
             runtime: self.runtime.clone(),
+            handshakes: self.handshakes.clone(),
+            rejections: self.rejections.clone(),
         }
     }
 }
@@ -62,14 +67,22 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let tx = HubSender::new(tx);
         let handshakes = Handshakes::new(config.max_handshakes);
-        let link = config.link.clone();
-        runtime.spawn(listen(listener, link, handshakes, tx.clone()));
+        let listen = Listen {
+            config: config.link.clone(),
+            handshakes: handshakes.clone(),
+            rejections: Rejections::default(),
+            tx: tx.clone(),
+        };
+        let rejections = listen.rejections.clone();
+        runtime.spawn(listen.run(listener));
         let state = HubState::new(config, tx.clone(), sink, address);
         runtime.spawn(state.run(rx));
         Ok(Self {
             tx,
             address,
             runtime: runtime.clone(),
+            handshakes,
+            rejections,
         })
     }
 
@@ -79,6 +92,15 @@
         self.address
     }
 
+    /// Returns the numbers of connections that haven't proved to come from a peer.
+    #[must_use]
+    pub fn handshake_stats(&self) -> HandshakeStats {
+        HandshakeStats {
+            rejected: self.rejections.total(),
+            ..self.handshakes.stats()
+        }
+    }
+
     /// Sends a message to a peer. The message is dropped if the peer is not connected.
     pub fn send(&self, to: Incarnation, message: M) {
         self.tx.send(HubEvent::Send {
@@ -141,26 +163,32 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections. One that hasn't proved to come from a peer is closed if others need its place.
-async fn listen<M: PeerMessage>(
-    listener: TcpListener,
+/// The listener of a hub.
+struct Listen<M> {
     config: LinkConfig,
     handshakes: Handshakes,
+    rejections: Rejections,
     tx: HubSender<M>,
-) {
-    let mut failures = AcceptFailures::default();
-    let rejections = Rejections::default();
-    loop {
-        let (stream, address) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(e) => {
-                failures.wait(&e).await;
-                continue;
+}
+
+impl<M: PeerMessage> Listen<M> {
+    /// Accepts connections. One that hasn't proved to come from a peer is closed if others need its
+    /// place.
+    async fn run(self, listener: TcpListener) {
+        let mut failures = AcceptFailures::default();
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => self.admit(stream, address).await,
+                Err(e) => failures.wait(&e).await,
             }
-        };
-        let (permit, closed) = handshakes.admit(address.ip()).await;
-        let link = link::accept(config.clone(), stream, permit, tx.clone());
-        let rejections = rejections.clone();
+        }
+    }
+
+    /// Waits until there is room for a connection, and runs it in a task of its own.
+    async fn admit(&self, stream: TcpStream, address: SocketAddr) {
+        let (permit, closed) = self.handshakes.admit(address.ip()).await;
+        let link = link::accept(self.config.clone(), stream, permit, self.tx.clone());
+        let rejections = self.rejections.clone();
         tokio::spawn(async move {
             let result = tokio::select! {
                 biased;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! is limited, and so is the number of connections whose handshake is not complete.
 
 mod dial_target;
+mod handshake_stats;
 mod handshake_table;
 mod handshakes;
 mod hello;
@@ -17,6 +18,7 @@
 mod rejections;
 mod wire;
 
+pub use handshake_stats::HandshakeStats;
 pub use handshake_table::{HandshakeDecision, HandshakeTable};
 pub use hub::PeerHub;
 pub use hub_event::PeerAddress;
--- a/src/peers/rejections.rs
+++ b/src/peers/rejections.rs
@@ -2,7 +2,7 @@
 
 use super::link::LinkError;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Minimum time between two log lines about rejected connections.
@@ -16,6 +16,7 @@
 struct State {
     logged_at: Option<Instant>,
     unlogged: u64,
+    total: u64,
 }
 
 impl Rejections {
@@ -25,7 +26,8 @@
             tracing::info!(%address, "rejected a duplicate peer connection");
             return;
         }
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
+        state.total += 1;
         if state
             .logged_at
             .is_some_and(|at| at.elapsed() < LOG_INTERVAL)
@@ -37,4 +39,13 @@
         state.logged_at = Some(Instant::now());
         tracing::warn!(%address, error = %e, unlogged, "incoming peer connection failed");
     }
+
+    /// Returns the number of rejected connections but for duplicates of live ones.
+    pub fn total(&self) -> u64 {
+        self.lock().total
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -5,6 +5,7 @@
 use crate::http::{IngressLimits, NamedLimits};
 use crate::machine::Machine;
 use serde::Deserialize;
+use std::ops::RangeInclusive;
 
 /// Number of bodies of the largest size for which callers have room, unless the machine is too small.
 const BODIES_AT_ONCE: usize = 16;
@@ -18,6 +19,13 @@
 const MEMORY_PER_JOBS: usize = 8;
 /// Largest default of [`Limits::job_bytes`].
 const MAX_DEFAULT_JOB_BYTES: usize = 512 * 1024 * 1024;
+/// Stack size of the daemon's threads, in bytes.
+pub const THREAD_STACK_BYTES: usize = 256 * 1024;
+/// The stacks of the threads for blocking calls may take the memory of the machine divided by this. Each
+/// uses a small part of its stack.
+const MEMORY_PER_STACKS: usize = 4;
+/// Valid values of [`Limits::blocking_threads`].
+const BLOCKING_THREADS: RangeInclusive<usize> = 16..=2_048;
 /// Callers may hold at most the memory of the machine divided by this.
 const MEMORY_PER_INGRESS: usize = 2;
 
@@ -35,6 +43,12 @@
     /// By default half of the descriptors, and at most 16384 or as many as have receive buffers in a
     /// third of the memory.
     pub connections: Option<usize>,
+    /// Limit on the incoming connections of peers whose handshake is not complete, at least 1; a
+    /// sixteenth of `connections` by default.
+    pub handshakes: Option<usize>,
+    /// Limit on the threads for blocking calls, from 16 to 2048; by default as many as have their stacks
+    /// in a quarter of the memory. Further calls wait.
+    pub blocking_threads: Option<usize>,
     /// Limit on the bytes of all jobs that this VM has accepted and not ended, at least 1048576; an
     /// eighth of the memory by default, and at most 536870912. Raised to twice `body_bytes`. Beyond it
     /// jobs are refused as `overloaded`.
@@ -59,6 +73,8 @@
             body_bytes: 4 * 1024 * 1024,
             ingress_bytes: None,
             connections: None,
+            handshakes: None,
+            blocking_threads: None,
             job_bytes: None,
             tasks_per_job: 1_500,
             ids_per_batch: 1_000,
@@ -111,6 +127,18 @@
         bytes.max(bodies).max(min)
     }
 
+    /// Returns the limit on the threads for blocking calls on a machine.
+    #[must_use]
+    pub fn blocking_threads_on(&self, machine: &Machine) -> usize {
+        let by_memory = machine
+            .memory_bytes()
+            .map(|bytes| bytes / MEMORY_PER_STACKS / THREAD_STACK_BYTES);
+        let default = by_memory
+            .unwrap_or(*BLOCKING_THREADS.end())
+            .clamp(*BLOCKING_THREADS.start(), *BLOCKING_THREADS.end());
+        self.blocking_threads.unwrap_or(default)
+    }
+
     pub(super) fn job_bytes_on(&self, machine: &Machine) -> usize {
         let bytes = self.job_bytes.unwrap_or_else(|| {
             let memory = machine.memory_bytes().unwrap_or(usize::MAX);
@@ -155,6 +183,15 @@
             self.ingress_bytes.is_none_or(|bytes| bytes >= 1024 * 1024),
             "limits.ingress_bytes: must be at least 1048576",
         )?;
+        require(
+            self.handshakes.is_none_or(|count| count >= 1),
+            "limits.handshakes: must be at least 1",
+        )?;
+        require(
+            self.blocking_threads
+                .is_none_or(|count| BLOCKING_THREADS.contains(&count)),
+            "limits.blocking_threads: must be from 16 to 2048",
+        )?;
         require(
             self.job_bytes.is_none_or(|bytes| bytes >= 1024 * 1024),
             "limits.job_bytes: must be at least 1048576",
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,7 +5,7 @@
 
 mod limits;
 
-pub use limits::Limits;
+pub use limits::{Limits, THREAD_STACK_BYTES};
 
 use crate::error::{Error, ErrorKind};
 use crate::machine::Machine;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -26,6 +26,12 @@
 #[case::ingress("body_bytes: 1048576", "ingress_bytes: 1", "limits.ingress_bytes")]
 #[case::connections("body_bytes: 1048576", "connections: 1", "limits.connections")]
 #[case::job_bytes("body_bytes: 1048576", "job_bytes: 1", "limits.job_bytes")]
+#[case::handshakes("body_bytes: 1048576", "handshakes: 0", "limits.handshakes")]
+#[case::threads(
+    "body_bytes: 1048576",
+    "blocking_threads: 1",
+    "limits.blocking_threads"
+)]
 #[case::short_silence("peer_silence_ms: 3500", "peer_silence_ms: 1500", "peer_silence_ms")]
 #[case::unknown_format("format: json", "format: xml", "line")]
 fn invalid_settings_are_rejected(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
