--- a/crates/test/tests/floods/main.rs
+++ b/crates/test/tests/floods/main.rs
@@ -92,6 +92,24 @@
     }
 }
 
+/// Returns a submission in chunks of one byte that stops short.
+fn tiny_chunks() -> Script {
+    Script {
+        opening: submission("Transfer-Encoding: chunked"),
+        piece: b"1\r\n \r\n".repeat(512),
+        pieces: 8,
+    }
+}
+
+/// Returns a submission that announces a gigabyte and sends megabytes of it.
+fn announced_body() -> Script {
+    Script {
+        opening: submission(&format!("Content-Length: {}", 1 << 30)),
+        piece: vec![b' '; 64 * 1024],
+        pieces: 96,
+    }
+}
+
 /// Returns a head that stops short within all limits.
 fn short_head() -> Script {
     Script {
@@ -131,6 +149,28 @@
     /// More connections than the process may have descriptors.
     idle_connections(Callers, FEW_DESCRIPTORS) => |_| Script::default();
 
+    /// More heads that stop short than the process may have descriptors.
+    heads_that_stop_short(Callers, FEW_DESCRIPTORS) => |_| short_head();
+
+    /// Bodies of legal size in chunks of one byte.
+    legal_bodies_in_tiny_chunks(Callers, Machine::SMALLEST) => |_| tiny_chunks();
+
+    /// Bodies that are announced to be far over the limit.
+    announced_bodies_over_the_limit(Callers, Machine::SMALLEST) => |_| announced_body();
+
+    /// More connections to the listener of the peers than the process may have descriptors.
+    idle_connections_at_the_peers(Peers, FEW_DESCRIPTORS) => |_| Script::default();
+    heads_that_stop_short_at_the_peers(Peers, FEW_DESCRIPTORS) => |_| short_head();
+    heads_without_end_at_the_peers(Peers, Machine::SMALLEST) => |_| {
+        endless_head(b"GET / HTTP/1.1\r\nX-Long: ", b"a")
+    };
+    empty_lines_at_the_peers(Peers, Machine::SMALLEST) => |_| endless_head(b"", b"\r\n");
+    whole_bodies_at_the_peers(Peers, Machine::SMALLEST) => |_| legal_body(0);
+    bodies_that_stop_short_at_the_peers(Peers, Machine::SMALLEST) => |_| legal_body(1);
+    bodies_in_tiny_chunks_at_the_peers(Peers, Machine::SMALLEST) => |_| tiny_chunks();
+    announced_bodies_at_the_peers(Peers, Machine::SMALLEST) => |_| announced_body();
+    chunked_bodies_at_the_peers(Peers, Machine::SMALLEST) => |_| chunked_body(96);
+
     /// Requests that are served on threads of their own, without a token, whose answers are not read.
     requests_for_metrics(Callers, HALF_OF_SMALLEST) => |_| Script {
         opening: b"GET /metrics HTTP/1.1\r\nHost: entry\r\n\r\n".repeat(200),
